--- a/include/peatnotch/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace peatnotch {
+namespace lotuslead {
 
 using Time = std::chrono::nanoseconds;  // a point on the router's clock, or a span of it
 using RequestId = std::uint64_t;
@@ -221,4 +221,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -4,4 +4,4 @@
 
 #include "wire.hpp"
 
-int main() { return peatnotch::wire::serve(STDIN_FILENO, stdout, stderr); }
+int main() { return lotuslead::wire::serve(STDIN_FILENO, stdout, stderr); }
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -4,7 +4,7 @@
 
 #include "wire.hpp"
 
-namespace peatnotch::wire {
+namespace lotuslead::wire {
 
 using simdjson::dom::array;
 using simdjson::dom::element;
@@ -228,4 +228,4 @@
     return words;
 }
 
-}  // namespace peatnotch::wire
+}  // namespace lotuslead::wire
--- a/src/adapter/settings.hpp
+++ b/src/adapter/settings.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <unordered_map>
 
-#include "peatnotch/router.hpp"
+#include "lotuslead/router.hpp"
 
-namespace peatnotch::wire {
+namespace lotuslead::wire {
 
 // The settings, and the names by which later events refer to them.
 struct Vocabulary {
@@ -31,4 +31,4 @@
 std::string_view textOr(simdjson::dom::element object, std::string_view key, std::string_view fallback);
 std::optional<simdjson::dom::element> valueAt(simdjson::dom::element object, std::string_view key);
 
-}  // namespace peatnotch::wire
+}  // namespace lotuslead::wire
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -11,7 +11,7 @@
 #include "../support/hash.hpp"
 #include "settings.hpp"
 
-namespace peatnotch::wire {
+namespace lotuslead::wire {
 
 using simdjson::dom::element;
 
@@ -390,7 +390,7 @@
         const ssize_t got = ::read(inputFd, buffer.data() + filled, kChunk);
         if (got < 0 && errno == EINTR) continue;
         if (got < 0) {
-            std::fprintf(errors, "peatnotch_adapter: cannot read: %s\n", std::strerror(errno));
+            std::fprintf(errors, "lotuslead_adapter: cannot read: %s\n", std::strerror(errno));
             return 1;
         }
         if (got == 0) break;
@@ -405,14 +405,14 @@
                 if (session.takeLine(line, reply)) {
                     if (std::fwrite(reply.data(), 1, reply.size(), output) != reply.size() ||
                         std::fflush(output) != 0) {
-                        std::fprintf(errors, "peatnotch_adapter: cannot write the reply\n");
+                        std::fprintf(errors, "lotuslead_adapter: cannot write the reply\n");
                         return 1;
                     }
                     reply.clear();
                 }
             }
         } catch (const Malformed& problem) {
-            std::fprintf(errors, "peatnotch_adapter: line %zu: %s\n", lineNumber, problem.what());
+            std::fprintf(errors, "lotuslead_adapter: line %zu: %s\n", lineNumber, problem.what());
             return 1;
         }
         scanned = filled;
@@ -426,10 +426,10 @@
         }
     }
     if (session.midBatch() || start != filled) {
-        std::fprintf(errors, "peatnotch_adapter: the input ended inside a batch\n");
+        std::fprintf(errors, "lotuslead_adapter: the input ended inside a batch\n");
         return 1;
     }
     return 0;
 }
 
-}  // namespace peatnotch::wire
+}  // namespace lotuslead::wire
--- a/src/adapter/wire.hpp
+++ b/src/adapter/wire.hpp
@@ -11,9 +11,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "peatnotch/router.hpp"
+#include "lotuslead/router.hpp"
 
-namespace peatnotch::wire {
+namespace lotuslead::wire {
 
 // What came in is not what the wire allows.
 struct Malformed : std::runtime_error {
@@ -39,4 +39,4 @@
 // Reads lines until the input ends; returns the exit code.
 int serve(int inputFd, std::FILE* output, std::FILE* errors);
 
-}  // namespace peatnotch::wire
+}  // namespace lotuslead::wire
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,4 +1,4 @@
-// All decisions of peatnotch. The types, events and actions are in include/peatnotch/router.hpp.
+// All decisions of lotuslead. The types, events and actions are in include/lotuslead/router.hpp.
 //
 // A request moves its object's name to the front of a bounded LRU filter. A name found there goes to an edge
 // cache of the own zone and leaves a copy; any other goes straight to its parent and leaves none at the edge.
@@ -10,12 +10,12 @@
 #include <unordered_map>
 #include <utility>
 
-#include "peatnotch/router.hpp"
+#include "lotuslead/router.hpp"
 #include "support/hash.hpp"
 #include "support/lru_map.hpp"
 #include "support/window_sum.hpp"
 
-namespace peatnotch {
+namespace lotuslead {
 namespace {
 
 using namespace std::chrono_literals;
@@ -894,4 +894,4 @@
 void Router::handleClientGone(Time, RequestId request, Actions& out) { impl_->clientGone(request, out); }
 void Router::handleTimer(Time now, TimerId timer, Actions& out) { impl_->timer(now, timer, out); }
 
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/src/support/hash.hpp
+++ b/src/support/hash.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace peatnotch {
+namespace lotuslead {
 
 // The finalizer of splitmix64: every input bit reaches every output bit.
 inline std::uint64_t mix(std::uint64_t x) {
@@ -32,4 +32,4 @@
     return (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0;
 }
 
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/src/support/lru_map.hpp
+++ b/src/support/lru_map.hpp
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace peatnotch {
+namespace lotuslead {
 
 template <class Key, class Value>
 class LruMap {
@@ -37,4 +37,4 @@
     std::unordered_map<Key, typename std::list<std::pair<Key, Value>>::iterator> index_;
 };
 
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/src/support/window_sum.hpp
+++ b/src/support/window_sum.hpp
@@ -6,7 +6,7 @@
 #include <deque>
 #include <utility>
 
-namespace peatnotch {
+namespace lotuslead {
 
 // The sum of the amounts added within the last `window`.
 class WindowSum {
@@ -60,4 +60,4 @@
     double sum_ = 0;
 };
 
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -6,10 +6,10 @@
 #include <utility>
 #include <vector>
 
-#include "peatnotch/router.hpp"
+#include "lotuslead/router.hpp"
 #include "support/hash.hpp"
 
-namespace peatnotch::testing {
+namespace lotuslead::testing {
 
 using namespace std::chrono_literals;
 
@@ -178,4 +178,4 @@
 
 inline bool startsWith(std::string_view text, char c) { return !text.empty() && text.front() == c; }
 
-}  // namespace peatnotch::testing
+}  // namespace lotuslead::testing
--- a/tests/policy_routes_test.cpp
+++ b/tests/policy_routes_test.cpp
@@ -6,7 +6,7 @@
 
 #include "harness.hpp"
 
-namespace peatnotch::testing {
+namespace lotuslead::testing {
 namespace {
 
 TEST(Design, UnknownNameGoesStraightToItsParent) {
@@ -577,4 +577,4 @@
 }
 
 }  // namespace
-}  // namespace peatnotch::testing
+}  // namespace lotuslead::testing
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -5,7 +5,7 @@
 
 #include "harness.hpp"
 
-namespace peatnotch::testing {
+namespace lotuslead::testing {
 namespace {
 
 // --- 1: exactly one answer, in time ---
@@ -299,4 +299,4 @@
 }
 
 }  // namespace
-}  // namespace peatnotch::testing
+}  // namespace lotuslead::testing
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -16,7 +16,7 @@
         ++number;
         EXPECT_LE(line.size(), 110u) << "line " << number;
         if (line.find_first_not_of(" \t\r") != std::string::npos) ++lines;
-        if (number <= 3 && line.find("include/peatnotch/router.hpp") != std::string::npos)
+        if (number <= 3 && line.find("include/lotuslead/router.hpp") != std::string::npos)
             namesInterface = true;
     }
     EXPECT_GT(lines, 0);
--- a/tests/support_test.cpp
+++ b/tests/support_test.cpp
@@ -4,7 +4,7 @@
 #include "support/lru_map.hpp"
 #include "support/window_sum.hpp"
 
-namespace peatnotch {
+namespace lotuslead {
 namespace {
 
 using namespace std::chrono_literals;
@@ -44,4 +44,4 @@
 }
 
 }  // namespace
-}  // namespace peatnotch
+}  // namespace lotuslead
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -8,7 +8,7 @@
 #include <cstdio>
 #include <string>
 
-namespace peatnotch::wire {
+namespace lotuslead::wire {
 namespace {
 
 const std::string kUp =
@@ -157,7 +157,7 @@
 TEST_P(MalformedInput, IsToldPlainlyAndEndsTheAdapter) {
     const Played p = play(batch(1, {kUp, kManifest, kMembers, GetParam()}));
     EXPECT_NE(p.exitCode, 0);
-    EXPECT_EQ(p.errors.rfind("peatnotch_adapter: line 5: ", 0), 0u) << p.errors;
+    EXPECT_EQ(p.errors.rfind("lotuslead_adapter: line 5: ", 0), 0u) << p.errors;
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -176,4 +176,4 @@
 }
 
 }  // namespace
-}  // namespace peatnotch::wire
+}  // namespace lotuslead::wire
