--- /dev/null
+++ b/src/adapter/fields.cpp
@@ -0,0 +1,72 @@
+#include "fields.hpp"
+
+#include <cmath>
+
+#include "wire.hpp"
+
+namespace lotuslead::wire {
+
+using simdjson::dom::element;
+
+namespace {
+
+[[noreturn]] void wrongType(std::string_view key, const char* wanted) {
+    throw Malformed("field '" + std::string(key) + "' is not " + wanted);
+}
+
+double number(element value, std::string_view key) {
+    double result = 0;
+    if (value.get_double().get(result) != simdjson::SUCCESS) wrongType(key, "a number");
+    return result;
+}
+
+bool flag(element value, std::string_view key) {
+    bool result = false;
+    if (value.get_bool().get(result) != simdjson::SUCCESS) wrongType(key, "true or false");
+    return result;
+}
+
+}  // namespace
+
+std::optional<element> valueAt(element object, std::string_view key) {
+    element value;
+    const auto problem = object.at_key(key).get(value);
+    if (problem == simdjson::INCORRECT_TYPE)
+        throw Malformed("'" + std::string(key) + "' sought in no object");
+    if (problem != simdjson::SUCCESS || value.is_null()) return std::nullopt;
+    return value;
+}
+
+double numberOr(element object, std::string_view key, double fallback) {
+    const auto value = valueAt(object, key);
+    return value ? number(*value, key) : fallback;
+}
+
+std::int64_t wholeOr(element object, std::string_view key, std::int64_t fallback) {
+    const auto value = valueAt(object, key);
+    if (!value) return fallback;
+    std::int64_t result = 0;
+    if (value->get_int64().get(result) == simdjson::SUCCESS) return result;
+    return static_cast<std::int64_t>(std::llround(number(*value, key)));
+}
+
+Time timeOr(element object, std::string_view key, Time fallback) {
+    return Time{wholeOr(object, key, fallback.count())};
+}
+
+bool flagOr(element object, std::string_view key, bool fallback) {
+    const auto value = valueAt(object, key);
+    return value ? flag(*value, key) : fallback;
+}
+
+std::string_view textOr(element object, std::string_view key, std::string_view fallback) {
+    const auto value = valueAt(object, key);
+    if (!value) return fallback;
+    std::string_view result;
+    if (value->get_string().get(result) == simdjson::SUCCESS) return result;
+    std::int64_t zero = 1;  // 0 stands for an absent name
+    if (value->get_int64().get(zero) == simdjson::SUCCESS && zero == 0) return fallback;
+    wrongType(key, "text");
+}
+
+}  // namespace lotuslead::wire
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -8,8 +8,9 @@
 #include <charconv>
 #include <cstring>
 
+#include "../settings/settings.hpp"
 #include "../support/hash.hpp"
-#include "settings.hpp"
+#include "fields.hpp"
 
 namespace lotuslead::wire {
 
@@ -189,9 +190,18 @@
 
 struct Instance {
     Router router;
-    Vocabulary words;
+    settings::Vocabulary words;
 };
 
+// The gateway and the adapter share one decoder of the settings; only event lines are worth simdjson.
+settings::Vocabulary settingsOf(element info) {
+    try {
+        return settings::readSettings(nlohmann::json::parse(std::string(simdjson::minify(info))));
+    } catch (const settings::Malformed& problem) {
+        throw Malformed(problem.what());
+    }
+}
+
 }  // namespace
 
 class Session::Impl {
@@ -280,7 +290,7 @@
             seed = static_cast<std::uint64_t>(wholeOr(event, "salt", 0));
         const auto info = valueAt(event, "info");
         if (!info) throw Malformed("field 'info' is missing");
-        Vocabulary words = readSettings(*info);
+        settings::Vocabulary words = settingsOf(*info);
         Router router(words.settings, seed);
         instances_[who] = std::make_unique<Instance>(Instance{std::move(router), std::move(words)});
         instances_[who]->router.start(now_, actions_);
@@ -324,19 +334,14 @@
         list.whole = form != 0;
         for (const ListedHost& listed : lists_[static_cast<std::size_t>(number)]) {
             HostEntry entry = listed.entry;
-            entry.role = Role::cache;
-            if (!to.words.parentShape.empty() && listed.shape == to.words.parentShape)
-                entry.role = Role::parent;
-            if (!to.words.originShape.empty() && listed.shape == to.words.originShape)
-                entry.role = Role::origin;
-            const auto zone = to.words.zones.find(listed.zone);
-            entry.zone = zone == to.words.zones.end() ? -1 : zone->second;
+            entry.role = to.words.roleOf(listed.shape);
+            entry.zone = to.words.zoneOf(listed.zone);
             list.entries.push_back(std::move(entry));
         }
         to.router.handle(now_, list, actions_);
     }
 
-    static Request requestOf(const Vocabulary& words, element event) {
+    static Request requestOf(const settings::Vocabulary& words, element event) {
         Request request;
         request.id = requestId(event);
         const std::string profile(needText(event, "profile"));
--- /dev/null
+++ b/src/core/decisions.cpp
@@ -0,0 +1,175 @@
+#include "decisions.hpp"
+
+#include <algorithm>
+
+#include "../support/hash.hpp"
+
+namespace lotuslead::core {
+
+using std::chrono::duration_cast;
+
+Decisions::Decisions(settings::Vocabulary words, std::uint64_t seed, Micros now, Micros unixAhead)
+    : words_(std::move(words)), router_(words_.settings, seed), unixAhead_(unixAhead) {
+    router_.start(moduleTime(now), actions_);
+    collect(now);
+}
+
+void Decisions::list(Micros now, const settings::BusEvent& event) {
+    HostList list;
+    list.whole = event.whole;
+    if (event.whole)
+        for (auto& [name, readiness] : hosts_) readiness = Readiness::gone;
+    for (const settings::ListedStore& store : event.stores) {
+        HostEntry entry;
+        entry.name = store.name;
+        entry.role = words_.roleOf(store.shape);
+        entry.zone = words_.zoneOf(store.zone);
+        entry.cell = store.cell;
+        entry.weight = store.weight;
+        entry.readiness = store.readiness;
+        if (store.sinceMs > 0) {
+            const Micros since = std::chrono::milliseconds{store.sinceMs};
+            entry.startedAt = std::max(Time{1}, moduleTime(since - unixAhead_));
+        }
+        hosts_[store.name] = store.readiness;
+        list.entries.push_back(std::move(entry));
+    }
+    router_.handle(moduleTime(now), list, actions_);
+    collect(now);
+}
+
+void Decisions::purge(Micros now, const settings::BusEvent& event) {
+    Purge purge;
+    purge.object = event.purgedObject.empty() ? 0 : fingerprint(event.purgedObject);
+    purge.group = event.purgedGroup;
+    const Micros made = Micros{std::chrono::milliseconds{event.purgedMs}} - unixAhead_;
+    purge.age = std::max(Micros{0}, now - made);
+    if (event.purgedObject.empty())
+        groupPurges_[event.purgedGroup] = now;
+    else
+        objectPurges_[event.purgedObject] = now;
+    forgetOldPurges(now);
+    router_.handle(moduleTime(now), purge, actions_);
+    collect(now);
+}
+
+// No send waits longer than its request may, so older purges are known to every pick that still counts.
+void Decisions::forgetOldPurges(Micros now) {
+    constexpr std::chrono::minutes kLongEnough{2};
+    if (now - purgesSwept_ < kLongEnough) return;
+    purgesSwept_ = now;
+    const auto old = [&](const auto& entry) { return now - entry.second > kLongEnough; };
+    std::erase_if(objectPurges_, old);
+    std::erase_if(groupPurges_, old);
+}
+
+Verdict Decisions::pick(Micros now, const Request& request) {
+    lotuslead::Request asked;
+    asked.id = request.id;
+    asked.classIndex = request.classIndex;
+    asked.object = request.object.empty() ? 0 : fingerprint(request.object);
+    asked.group = request.group;
+    asked.part = request.part;
+    asked.deadline = moduleTime(request.deadline);
+    asked.repeated = request.repeated;
+    asked.write = words_.settings.classes[static_cast<std::size_t>(request.classIndex)].neverKept;
+    attempts_[request.id] = 0;
+    router_.handle(moduleTime(now), asked, actions_);
+    for (Verdict& verdict : collect(now))
+        if (verdict.verb != Verb::cancel) return verdict;
+    Verdict none;
+    none.request = request.id;
+    return none;
+}
+
+std::vector<Verdict> Decisions::report(Micros now, const AttemptReport& report) {
+    AttemptEnded ended;
+    ended.request = report.request;
+    ended.attempt = report.attempt;
+    ended.outcome = report.outcome;
+    ended.elapsed = report.elapsed;
+    ended.note = report.note;
+    ended.over = report.outcome == Outcome::served;
+    if (ended.over) attempts_.erase(report.request);
+    router_.handle(moduleTime(now), ended, actions_);
+    return collect(now);
+}
+
+std::vector<Verdict> Decisions::clientGone(Micros now, RequestId request) {
+    attempts_.erase(request);
+    router_.handleClientGone(moduleTime(now), request, actions_);
+    return collect(now);
+}
+
+std::vector<Verdict> Decisions::tick(Micros now) {
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        const TimerId timer = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        router_.handleTimer(moduleTime(now), timer, actions_);
+    }
+    return collect(now);
+}
+
+Micros Decisions::nextTick() const { return timers_.empty() ? Micros::max() : timers_.begin()->first; }
+
+bool Decisions::holds(const Request& request, const Verdict& send) const {
+    const auto ready = [&](const std::string& name) { return readinessOf(name) == Readiness::ready; };
+    if (!ready(send.host) || (!send.source.empty() && !ready(send.source))) return false;
+    const auto object = objectPurges_.find(request.object);
+    if (object != objectPurges_.end() && object->second >= send.pickedAt) return false;
+    const auto group = groupPurges_.find(request.group);
+    return group == groupPurges_.end() || group->second < send.pickedAt;
+}
+
+Readiness Decisions::readinessOf(const std::string& host) const {
+    const auto found = hosts_.find(host);
+    return found == hosts_.end() ? Readiness::gone : found->second;
+}
+
+std::vector<Verdict> Decisions::collect(Micros now) {
+    std::vector<Verdict> verdicts;
+    const auto take = [&](const auto& action) {
+        using Kind = std::decay_t<decltype(action)>;
+        Verdict verdict;
+        if constexpr (std::is_same_v<Kind, Send>) {
+            verdict.verb = Verb::send;
+            verdict.request = action.request;
+            verdict.attempt = attempts_[action.request]++;
+            verdict.host = action.host;
+            if (!action.plain && action.source != action.host) verdict.source = action.source;
+            verdict.keepRank = action.plain ? 0 : action.keepRank;
+            verdict.oldest = duration_cast<Micros>(action.oldest);
+            // Rounded down to nothing it would mean "any age".
+            if (action.oldest.count() > 0 && verdict.oldest.count() == 0) verdict.oldest = Micros{1};
+            verdict.join = action.join;
+            verdict.heldOnly = action.heldOnly;
+            verdict.renew = action.renew;
+            verdict.timeout = duration_cast<Micros>(action.timeout);
+            verdict.pickedAt = now;
+        } else if constexpr (std::is_same_v<Kind, Refuse>) {
+            verdict.verb = Verb::refuse;
+            verdict.request = action.request;
+            verdict.pause = duration_cast<Micros>(action.retryIn);
+            attempts_.erase(action.request);
+        } else if constexpr (std::is_same_v<Kind, Fail>) {
+            verdict.verb = Verb::fail;
+            verdict.request = action.request;
+            attempts_.erase(action.request);
+        } else if constexpr (std::is_same_v<Kind, Cancel>) {
+            verdict.verb = Verb::cancel;
+            verdict.request = action.request;
+            verdict.attempt = action.attempt;
+        } else if constexpr (std::is_same_v<Kind, SetTimer>) {
+            timers_.emplace(now + duration_cast<Micros>(action.delay) + Micros{1}, action.timer);
+            return;
+        } else {
+            return;  // lists are pushed and nothing is probed on this deployment
+        }
+        verdicts.push_back(std::move(verdict));
+    };
+    for (const Action& action : actions_) std::visit(take, action);
+    actions_.clear();
+    return verdicts;
+}
+
+}  // namespace lotuslead::core
--- /dev/null
+++ b/src/core/decisions.hpp
@@ -0,0 +1,105 @@
+// The decision module behind calls that return plain verdicts. It owns the Router and its timers; nothing
+// outside of it sees an event or an action.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../settings/settings.hpp"
+#include "lotuslead/router.hpp"
+
+namespace lotuslead::core {
+
+using Micros = std::chrono::microseconds;  // on the monotonic clock
+
+// A request as any front takes it. The fields from `label` on pass through unread.
+struct Request {
+    RequestId id = 0;  // of this process
+    int classIndex = 0;
+    std::string object;
+    std::int64_t group = 0;
+    std::int64_t part = 0;
+    Micros deadline{};
+    bool repeated = false;
+    std::string label;      // the client's id for it
+    std::string className;  // as the client wrote it
+    std::string key;        // idempotency key
+    std::string known;      // tag of a copy that the client holds
+    std::string body;
+};
+
+enum class Verb { send, refuse, fail, cancel };
+
+struct Verdict {
+    Verb verb = Verb::fail;
+    RequestId request = 0;
+    int attempt = 0;  // send and cancel
+    Micros pause{};   // refuse: the client may come back after this
+    // send:
+    std::string host;
+    std::string source;  // where a miss is filled from; empty: no fill
+    int keepRank = 0;
+    Micros oldest{};  // zero: the class's fresh time
+    bool join = false;
+    bool heldOnly = false;
+    bool renew = false;
+    Micros timeout{};
+    Micros pickedAt{};
+};
+
+struct AttemptReport {
+    RequestId request = 0;
+    int attempt = 0;
+    Outcome outcome = Outcome::error;
+    Micros elapsed{};
+    Note note = Note::none;
+};
+
+class Decisions {
+public:
+    // `unixAhead` is what the Unix clock shows beyond the monotonic one, fixed for the life of the process.
+    Decisions(settings::Vocabulary words, std::uint64_t seed, Micros now, Micros unixAhead);
+
+    const settings::Vocabulary& words() const { return words_; }
+
+    void list(Micros now, const settings::BusEvent& event);
+    void purge(Micros now, const settings::BusEvent& event);
+
+    Verdict pick(Micros now, const Request& request);
+    std::vector<Verdict> report(Micros now, const AttemptReport& report);
+    std::vector<Verdict> clientGone(Micros now, RequestId request);
+    std::vector<Verdict> tick(Micros now);
+    Micros nextTick() const;  // Micros::max(): nothing is due
+
+    // Whether a send picked earlier may still be begun: its hosts are still to be sent to, and no purge has
+    // come that its limit on age does not know of.
+    bool holds(const Request& request, const Verdict& send) const;
+    Readiness readinessOf(const std::string& host) const;
+
+private:
+    Time moduleTime(Micros now) const { return now + kEpoch; }
+    std::vector<Verdict> collect(Micros now);
+    void forgetOldPurges(Micros now);
+
+    // The router's clock starts this far from zero, so that a host that started before this machine did has
+    // a time above zero (zero stands for "long ago").
+    static constexpr std::chrono::hours kEpoch{24 * 365};
+
+    settings::Vocabulary words_;
+    Router router_;
+    Micros unixAhead_;
+    Actions actions_;
+    std::multimap<Micros, TimerId> timers_;
+    std::unordered_map<RequestId, int> attempts_;  // made so far, of requests without a final answer
+    std::unordered_map<std::string, Readiness> hosts_;
+    std::unordered_map<std::string, Micros> objectPurges_;
+    std::unordered_map<std::int64_t, Micros> groupPurges_;
+    Micros purgesSwept_{};
+};
+
+}  // namespace lotuslead::core
--- /dev/null
+++ b/src/core/requests.hpp
@@ -0,0 +1,100 @@
+// The requests in hand: each has one final answer and at most one attempt out. It knows no wire.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "decisions.hpp"
+
+namespace lotuslead::core {
+
+// What an attempt brought back, where it was served.
+struct Payload {
+    std::string body;
+    bool unchanged = false;  // the client's own copy is the one: no bytes
+    std::vector<std::pair<std::string, std::string>> facts;
+};
+
+struct Reply {
+    enum class Word { served, refused, failed } word = Word::failed;
+    Micros pause{};        // with a refusal
+    bool late = false;     // the deadline ended it
+    bool reached = false;  // some upstream was tried
+    Payload payload;
+};
+
+struct AttemptEnd {
+    RequestId request = 0;
+    int attempt = 0;
+    Outcome outcome = Outcome::error;
+    Note note = Note::none;
+    Payload payload;
+};
+
+// Whoever carries attempts to the hosts. Outcomes come back by Requests::ended, never from within these
+// calls.
+class Carrier {
+public:
+    virtual ~Carrier() = default;
+    virtual void send(Micros now, const Request& request, const Verdict& send) = 0;
+    // Gives the attempt up; its outcome is not told any more. True: not a byte of it was written.
+    virtual bool cancel(Micros now, RequestId request, int attempt) = 0;
+};
+
+struct Counters {
+    std::uint64_t taken = 0, served = 0, unchanged = 0, refused = 0, failed = 0, gone = 0, overdue = 0;
+    std::uint64_t sent = 0, cancelled = 0;
+    std::array<std::uint64_t, 9> outcomes{};  // by Outcome
+};
+
+class Requests {
+public:
+    using Answer = std::function<void(RequestId, Reply&&)>;
+
+    Requests(Decisions& decisions, Carrier& carrier) : decisions_(decisions), carrier_(carrier) {}
+
+    void take(Micros now, Request request, Answer answer);
+    void withdraw(Micros now, RequestId request);  // the client has gone: no answer is owed
+    void ended(Micros now, AttemptEnd end);
+    void turn(Micros now);  // what is due by the clock
+    Micros nextTurn() const;
+
+    // Whether the attempt may still be begun; asked right before its first byte.
+    bool holds(RequestId request, int attempt) const;
+
+    std::size_t open() const { return open_; }
+    const Counters& counters() const { return counters_; }
+
+private:
+    struct Job {
+        Request request;
+        Answer answer;
+        Verdict send;
+        Micros sentAt{};
+        bool out = false;  // an attempt is
+        bool answered = false;
+        bool tried = false;
+    };
+
+    void follow(Micros now, std::vector<Verdict> verdicts);
+    void begin(Micros now, Job& job, Verdict&& send);
+    void finish(Job& job, Reply&& reply);
+    std::vector<Verdict> close(Micros now, Job& job, Outcome outcome, Note note);
+    void forgetIfDone(RequestId request);
+
+    Decisions& decisions_;
+    Carrier& carrier_;
+    std::unordered_map<RequestId, Job> jobs_;
+    std::set<std::tuple<Micros, RequestId, int>> timeouts_;
+    std::size_t open_ = 0;
+    Counters counters_;
+};
+
+}  // namespace lotuslead::core
--- /dev/null
+++ b/src/net/http.hpp
@@ -0,0 +1,70 @@
+// HTTP/1.1 messages, read as the bytes come (RFC 9112): requests and responses, with limits.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lotuslead::net {
+
+struct HttpHead {
+    // of a request
+    std::string method, target;
+    // of a response
+    int status = 0;
+    int minorVersion = 1;
+    std::vector<std::pair<std::string, std::string>> fields;  // names in lower case
+
+    const std::string* field(std::string_view name) const;  // the first of that name
+    bool keepAlive() const;
+};
+
+class HttpParser {
+public:
+    enum class Kind { request, response };
+    struct Limits {
+        std::size_t head = 16 * 1024;
+        std::size_t body = 1024 * 1024;
+    };
+    enum class Status { needMore, message, malformed, headTooLarge, bodyTooLarge };
+
+    HttpParser(Kind kind, Limits limits) : kind_(kind), limits_(limits) {}
+
+    // Takes from the front of `data` what belongs to the message in hand. After `message`, head() and body()
+    // hold it until the next call.
+    Status feed(std::string_view& data);
+    // The peer closed: true if that ends a response whose length nothing else told.
+    bool endOfStream();
+    // The response in hand answers HEAD: it has no body whatever it says.
+    void expectNoBody(bool none) { noBody_ = none; }
+
+    const HttpHead& head() const { return head_; }
+    std::string& body() { return body_; }
+    bool midMessage() const { return state_ != State::start || !text_.empty(); }
+
+private:
+    enum class State { start, head, sized, untilClose, chunkSize, chunk, chunkEnd, trailer };
+
+    Status readHead();
+    Status frame();
+    bool startLine(std::string_view line);
+    Status takeLine(std::string_view& data, std::string& line);
+
+    Kind kind_;
+    Limits limits_;
+    State state_ = State::start;
+    std::string text_;  // of the head, or of the line in hand
+    HttpHead head_;
+    std::string body_;
+    std::size_t left_ = 0;
+    bool noBody_ = false;
+};
+
+std::string lowerCase(std::string_view text);
+std::string_view trimmed(std::string_view text);
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,86 @@
+#include "loop.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace lotuslead::net {
+
+Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(clock()) {
+    if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+Micros Loop::clock() {
+    return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+Loop::HandlerId Loop::add(int fd, std::uint32_t events, Handler& handler) {
+    const HandlerId id = nextId_++;
+    epoll_event event{};
+    event.events = events | EPOLLET;
+    event.data.u64 = id;
+    if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
+        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+    handlers_[id] = &handler;
+    return id;
+}
+
+void Loop::remove(HandlerId id, int fd) {
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+    handlers_.erase(id);
+    again_.erase(id);
+}
+
+void Loop::again(HandlerId id, std::uint32_t events) { again_[id] |= events; }
+
+Loop::TimerKey Loop::after(Micros delay, std::function<void()> task) {
+    const TimerKey key{now_ + delay, nextId_++};
+    timers_.emplace(key, std::move(task));
+    return key;
+}
+
+void Loop::runPosted() {
+    // What is posted meanwhile runs too, in order.
+    for (std::size_t i = 0; i < posted_.size(); ++i) {
+        const auto task = std::move(posted_[i]);
+        task();
+    }
+    posted_.clear();
+}
+
+void Loop::turn(Micros until) {
+    if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
+    const bool busy = !again_.empty() || !posted_.empty();
+    int wait = 0;
+    if (!busy && until > now_) {
+        // Rounded up: a turn that comes too early would only spin.
+        const auto left = std::min<std::int64_t>((until - now_).count(), 60'000'000);
+        wait = static_cast<int>((left + 999) / 1000);
+    }
+    std::array<epoll_event, 256> events;
+    const int count = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait);
+    now_ = clock();
+    // Handlers are looked up one by one: an earlier one may have removed a later one.
+    std::unordered_map<HandlerId, std::uint32_t> due;
+    due.swap(again_);
+    for (int i = 0; i < count; ++i)
+        due[events[static_cast<std::size_t>(i)].data.u64] |= events[static_cast<std::size_t>(i)].events;
+    for (const auto& [id, what] : due) {
+        const auto found = handlers_.find(id);
+        if (found == handlers_.end()) continue;
+        const std::uint32_t left = found->second->ready(what);
+        if (left != 0 && handlers_.count(id) > 0) again_[id] |= left;
+        runPosted();
+    }
+    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+        const auto task = std::move(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+        task();
+        runPosted();
+    }
+    runPosted();
+    retired_.clear();
+}
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,64 @@
+// One thread, one edge-triggered epoll. The clock is read once a turn.
+#pragma once
+
+#include <sys/epoll.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "descriptor.hpp"
+
+namespace lotuslead::net {
+
+using Micros = std::chrono::microseconds;
+
+// What is told when a descriptor turns ready. With edges, it works until EAGAIN or until its share of the
+// turn is used up; in the latter case it returns the events that it must be called with again.
+class Handler {
+public:
+    virtual ~Handler() = default;
+    virtual std::uint32_t ready(std::uint32_t events) = 0;
+};
+
+class Loop {
+public:
+    using HandlerId = std::uint64_t;
+    using TimerKey = std::pair<Micros, std::uint64_t>;
+
+    Loop();
+
+    Micros now() const { return now_; }
+    HandlerId add(int fd, std::uint32_t events, Handler& handler);
+    void remove(HandlerId id, int fd);
+    void again(HandlerId id, std::uint32_t events);  // in the next turn, without a new edge
+
+    TimerKey after(Micros delay, std::function<void()> task);
+    void cancel(TimerKey key) { timers_.erase(key); }
+    void post(std::function<void()> task) { posted_.push_back(std::move(task)); }
+    // Destroys it once nothing on the stack can be using it any more.
+    void retire(std::shared_ptr<void> object) { retired_.push_back(std::move(object)); }
+
+    // One turn: waits until something is ready, a timer is due or `until` has come.
+    void turn(Micros until);
+
+private:
+    static Micros clock();
+    void runPosted();
+
+    Descriptor epoll_;
+    Micros now_;
+    std::uint64_t nextId_ = 1;
+    std::unordered_map<HandlerId, Handler*> handlers_;
+    std::unordered_map<HandlerId, std::uint32_t> again_;
+    std::map<TimerKey, std::function<void()>> timers_;
+    std::vector<std::function<void()>> posted_;
+    std::vector<std::shared_ptr<void>> retired_;
+};
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/resp.cpp
@@ -0,0 +1,102 @@
+#include "resp.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lotuslead::net {
+
+namespace {
+
+constexpr std::size_t kLongestHeader = 24;
+
+void appendBulkHead(std::string& out, std::size_t size) {
+    out += '$';
+    out += std::to_string(size);
+    out += "\r\n";
+}
+
+}  // namespace
+
+RespParser::Status RespParser::feed(std::string_view& data) {
+    while (!data.empty()) {
+        if (state_ == State::bytes) {
+            const std::size_t body = left_ > 2 ? std::min(left_ - 2, data.size()) : 0;
+            if (body > 0) {
+                elements_.back().append(data.substr(0, body));
+                data.remove_prefix(body);
+                left_ -= body;
+                continue;
+            }
+            if (data.front() != (left_ == 2 ? '\r' : '\n')) return Status::malformed;
+            data.remove_prefix(1);
+            if (--left_ > 0) continue;
+            if (elements_.size() == awaited_) {
+                state_ = State::start;
+                return Status::message;
+            }
+            state_ = State::length;
+            continue;
+        }
+        const std::size_t end = data.find('\n');
+        const std::size_t upTo = end == std::string_view::npos ? data.size() : end + 1;
+        if (line_.size() + upTo > kLongestHeader) return Status::malformed;
+        line_.append(data.substr(0, upTo));
+        data.remove_prefix(upTo);
+        if (end == std::string_view::npos) return Status::needMore;
+        const Status status = takeHeader();
+        if (status != Status::needMore) return status;
+    }
+    return Status::needMore;
+}
+
+RespParser::Status RespParser::takeHeader() {
+    const std::string line = std::exchange(line_, {});
+    std::size_t number = 0;
+    if (line.size() < 4 || line[line.size() - 2] != '\r') return Status::malformed;
+    const char* end = line.data() + line.size() - 2;
+    const auto read = std::from_chars(line.data() + 1, end, number);
+    if (read.ec != std::errc{} || read.ptr != end) return Status::malformed;
+    if (state_ == State::start) {
+        if (line[0] != '*' || number == 0 || number > limits_.elements) return Status::malformed;
+        elements_.clear();
+        awaited_ = number;
+        total_ = 0;
+        state_ = State::length;
+        return Status::needMore;
+    }
+    total_ += number;
+    if (line[0] != '$' || number > limits_.bulk || total_ > limits_.total) return Status::malformed;
+    elements_.emplace_back();
+    elements_.back().reserve(number);
+    left_ = number + 2;
+    state_ = State::bytes;
+    return Status::needMore;
+}
+
+std::vector<std::string> RespParser::take() { return std::exchange(elements_, {}); }
+
+void appendResp(std::string& out, std::initializer_list<std::string_view> elements) {
+    out += '*';
+    out += std::to_string(elements.size());
+    out += "\r\n";
+    for (const std::string_view element : elements) {
+        appendBulkHead(out, element.size());
+        out += element;
+        out += "\r\n";
+    }
+}
+
+void appendRespHead(std::string& out, std::initializer_list<std::string_view> elements, std::size_t size) {
+    out += '*';
+    out += std::to_string(elements.size() + 1);
+    out += "\r\n";
+    for (const std::string_view element : elements) {
+        appendBulkHead(out, element.size());
+        out += element;
+        out += "\r\n";
+    }
+    appendBulkHead(out, size);
+}
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,227 @@
+#include "stream.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace lotuslead::net {
+
+namespace {
+
+constexpr std::size_t kReadChunk = 64 * 1024;
+constexpr int kReadsATurn = 4;  // then the others have their turn
+constexpr int kAcceptsATurn = 64;
+
+sockaddr_in addressOf(const settings::Endpoint& endpoint) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    ::inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
+    return address;
+}
+
+void noDelay(int fd) {
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Stream::Stream(Loop& loop, Descriptor fd, User& user)
+    : loop_(loop), fd_(std::move(fd)), user_(user), state_(State::open) {
+    noDelay(fd_.get());
+    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this);
+}
+
+Stream::Stream(Loop& loop, const settings::Endpoint& to, User& user)
+    : loop_(loop),
+      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      user_(user),
+      state_(State::connecting) {
+    const sockaddr_in address = addressOf(to);
+    bool failed = !fd_;
+    if (!failed) {
+        noDelay(fd_.get());
+        failed = ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 &&
+                 errno != EINPROGRESS;
+    }
+    if (failed) {
+        // Told from the next turn on, as it would be with a connect that fails a little later.
+        failedAtOnce_ = true;
+        timer_ = loop_.after(Micros{0}, [this] { end(End::refused); });
+        return;
+    }
+    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this);
+}
+
+Stream::~Stream() { close(); }
+
+void Stream::close() {
+    if (state_ == State::closed) return;
+    state_ = State::closed;
+    if (failedAtOnce_) loop_.cancel(timer_);
+    if (id_ != 0) loop_.remove(id_, fd_.get());
+    fd_.reset();
+    queue_.clear();
+    unsent_ = 0;
+}
+
+void Stream::closeAfterWriting() {
+    closing_ = true;
+    if (unsent_ == 0) end(End::closedByPeer);
+}
+
+void Stream::end(End why) {
+    if (state_ == State::closed) return;
+    close();
+    user_.streamEnded(why);
+}
+
+void Stream::write(std::string bytes) {
+    if (state_ == State::closed || bytes.empty()) return;
+    unsent_ += bytes.size();
+    queue_.push_back(std::move(bytes));
+    if (state_ == State::open && queue_.size() == 1) flush();
+}
+
+void Stream::flush() {
+    constexpr std::size_t kPieces = 16;
+    while (!queue_.empty()) {
+        std::array<iovec, kPieces> pieces{};
+        std::size_t count = 0;
+        for (; count < std::min(kPieces, queue_.size()); ++count) {
+            const std::size_t skip = count == 0 ? headSent_ : 0;
+            pieces[count] = {queue_[count].data() + skip, queue_[count].size() - skip};
+        }
+        msghdr message{};
+        message.msg_iov = pieces.data();
+        message.msg_iovlen = count;
+        const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR) continue;
+        if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+        if (sent < 0) {
+            // The reset is told by the read side or here, but never from within the caller's own write.
+            loop_.again(id_, EPOLLERR);
+            return;
+        }
+        unsent_ -= static_cast<std::size_t>(sent);
+        headSent_ += static_cast<std::size_t>(sent);
+        while (!queue_.empty() && headSent_ >= queue_.front().size()) {
+            headSent_ -= queue_.front().size();
+            queue_.pop_front();
+        }
+    }
+}
+
+void Stream::pauseReading(bool paused) {
+    if (paused_ == paused || state_ == State::closed) return;
+    paused_ = paused;
+    if (!paused && readable_) loop_.again(id_, EPOLLIN);
+}
+
+std::uint32_t Stream::ready(std::uint32_t events) {
+    if (state_ == State::connecting) {
+        int problem = 0;
+        socklen_t size = sizeof problem;
+        ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &problem, &size);
+        if (problem != 0) {
+            end(End::refused);
+            return 0;
+        }
+        if ((events & EPOLLOUT) == 0) return 0;
+        state_ = State::open;
+        user_.streamOpened();
+        if (state_ == State::closed) return 0;
+    }
+    if ((events & EPOLLERR) != 0 && (events & EPOLLIN) == 0) {
+        end(End::reset);
+        return 0;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        flush();
+        if (state_ == State::open && unsent_ == 0) {
+            if (closing_) {
+                end(End::closedByPeer);
+                return 0;
+            }
+            user_.streamDrained();
+        }
+    }
+    if (state_ == State::open && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) != 0) return readSome();
+    return 0;
+}
+
+std::uint32_t Stream::readSome() {
+    static thread_local std::array<char, kReadChunk> chunk;
+    for (int i = 0; i < kReadsATurn; ++i) {
+        readable_ = true;
+        if (paused_) return 0;
+        const ssize_t got = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            readable_ = false;
+            return 0;
+        }
+        if (got <= 0) {
+            end(got == 0 ? End::closedByPeer : End::reset);
+            return 0;
+        }
+        if (!user_.streamData({chunk.data(), static_cast<std::size_t>(got)})) {
+            end(End::malformed);
+            return 0;
+        }
+        if (state_ == State::closed) return 0;
+    }
+    return EPOLLIN;
+}
+
+Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted)
+    : loop_(loop),
+      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      accepted_(std::move(accepted)) {
+    const int on = 1;
+    const sockaddr_in address = addressOf(at);
+    if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        ::listen(fd_.get(), 1024) != 0)
+        throw std::system_error(errno, std::generic_category(),
+                                "cannot listen on " + at.host + ":" + std::to_string(at.port));
+    id_ = loop_.add(fd_.get(), EPOLLIN, *this);
+}
+
+Listener::~Listener() { loop_.remove(id_, fd_.get()); }
+
+std::uint16_t Listener::port() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+std::uint32_t Listener::ready(std::uint32_t) {
+    for (int i = 0; i < kAcceptsATurn; ++i) {
+        Descriptor fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (fd) {
+            accepted_(std::move(fd));
+            continue;
+        }
+        if (errno == EINTR || errno == ECONNABORTED) continue;
+        if (errno != EMFILE && errno != ENFILE) return 0;  // EAGAIN: the edge is used up
+        // Left in the backlog it would make no further edge: it is taken and closed.
+        spare_.reset();
+        Descriptor(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        spare_.reset(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+    }
+    return EPOLLIN;
+}
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,81 @@
+// One TCP connection: reads with a budget a turn, writes from a queue, and says why it ended.
+#pragma once
+
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "../settings/settings.hpp"
+#include "loop.hpp"
+
+namespace lotuslead::net {
+
+class Stream : public Handler {
+public:
+    enum class End { refused, closedByPeer, reset, malformed };
+    class User {
+    public:
+        virtual ~User() = default;
+        virtual void streamOpened() {}
+        // False: the peer sent what it may not; the stream ends as malformed.
+        virtual bool streamData(std::string_view data) = 0;
+        virtual void streamDrained() {}  // all that was written is with the kernel
+        virtual void streamEnded(End end) = 0;
+    };
+
+    Stream(Loop& loop, Descriptor fd, User& user);                 // accepted
+    Stream(Loop& loop, const settings::Endpoint& to, User& user);  // connects; may end in the next turn
+    ~Stream() override;
+    Stream(const Stream&) = delete;
+    Stream& operator=(const Stream&) = delete;
+
+    bool opened() const { return state_ == State::open; }
+    bool closed() const { return state_ == State::closed; }
+    void write(std::string bytes);  // queued, and sent as far as the kernel takes it
+    std::size_t unsent() const { return unsent_; }
+    void pauseReading(bool paused);
+    void close();              // at once; nothing is told any more
+    void closeAfterWriting();  // once all is with the kernel
+
+    std::uint32_t ready(std::uint32_t events) override;
+
+private:
+    enum class State { connecting, open, closed };
+
+    void flush();
+    void end(End why);
+    std::uint32_t readSome();
+
+    Loop& loop_;
+    Descriptor fd_;
+    User& user_;
+    State state_;
+    Loop::HandlerId id_ = 0;
+    std::deque<std::string> queue_;
+    std::size_t headSent_ = 0;
+    std::size_t unsent_ = 0;
+    bool paused_ = false;
+    bool readable_ = false;  // an edge came while paused
+    bool closing_ = false;
+    bool failedAtOnce_ = false;
+    Loop::TimerKey timer_{};
+};
+
+// Accepts connections until EAGAIN, and goes on when descriptors run out.
+class Listener : public Handler {
+public:
+    using Accepted = std::function<void(Descriptor)>;
+    Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted);
+    ~Listener() override;
+    std::uint16_t port() const;
+    std::uint32_t ready(std::uint32_t events) override;
+
+private:
+    Loop& loop_;
+    Descriptor fd_;
+    Descriptor spare_;  // given up for a moment to accept and close when no descriptor is left
+    Accepted accepted_;
+    Loop::HandlerId id_ = 0;
+};
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/platform/bus.cpp
@@ -0,0 +1,110 @@
+#include "bus.hpp"
+
+#include <cstdio>
+#include <string>
+
+namespace lotuslead::platform {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Events count as told after 7 s whether they arrived or not: a poll that hangs must be noticed well before.
+constexpr net::Micros kHold = 2s;
+constexpr net::Micros kSilent = 800ms;  // beyond the hold: the bus or the way to it has gone
+constexpr net::Micros kConnect = 400ms;
+constexpr net::Micros kBetween = 50ms;  // from the second failure on: at once would be a busy loop
+constexpr net::HttpParser::Limits kLimits{16 * 1024, 8 * 1024 * 1024};
+
+}  // namespace
+
+BusReader::BusReader(net::Loop& loop, const settings::Endpoint& bus, std::int64_t offset, Apply apply)
+    : loop_(loop),
+      bus_(bus),
+      offset_(offset),
+      apply_(std::move(apply)),
+      parser_(net::HttpParser::Kind::response, kLimits) {}
+
+BusReader::~BusReader() {
+    if (timer_) loop_.cancel(*timer_);
+}
+
+void BusReader::start() { connect(); }
+
+void BusReader::arm(net::Micros delay, std::function<void()> task) {
+    if (timer_) loop_.cancel(*timer_);
+    timer_ = loop_.after(delay, [this, task = std::move(task)] {
+        timer_.reset();
+        task();
+    });
+}
+
+void BusReader::connect() {
+    parser_ = net::HttpParser(net::HttpParser::Kind::response, kLimits);
+    if (stream_) loop_.retire(stream_);
+    stream_ = std::make_shared<net::Stream>(loop_, bus_, static_cast<net::Stream::User&>(*this));
+    arm(kConnect, [this] { reconnect("no connection in time"); });
+}
+
+void BusReader::reconnect(const char* why) {
+    ++counters_.reconnects;
+    if (failures_ == 0) std::fprintf(stderr, "event bus: %s, connecting again\n", why);
+    if (stream_) stream_->close();
+    if (failures_++ == 0) return connect();
+    arm(kBetween, [this] { connect(); });
+}
+
+void BusReader::ask() {
+    ++counters_.polls;
+    stream_->write("GET /bus/read?from=" + std::to_string(offset_) +
+                   "&hold=" + std::to_string(kHold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus_.host + ":" +
+                   std::to_string(bus_.port) + "\r\n\r\n");
+    arm(kHold + kSilent, [this] { reconnect("silent"); });
+}
+
+void BusReader::streamOpened() { ask(); }
+
+bool BusReader::streamData(std::string_view data) {
+    while (!data.empty()) {
+        const auto status = parser_.feed(data);
+        if (status == net::HttpParser::Status::needMore) return true;
+        if (status != net::HttpParser::Status::message || !takeAnswer()) return false;
+    }
+    return true;
+}
+
+bool BusReader::takeAnswer() {
+    if (parser_.head().status != 200) return false;
+    try {
+        const auto batch = settings::readBatch(nlohmann::json::parse(parser_.body()));
+        for (const settings::BusEvent& event : batch.events) {
+            if (event.offset <= offset_) continue;
+            offset_ = event.offset;
+            ++counters_.events;
+            apply_(event);
+        }
+        offset_ = std::max(offset_, batch.offset);
+    } catch (const std::exception& problem) {
+        std::fprintf(stderr, "event bus: cannot use its answer: %s\n", problem.what());
+        return false;
+    }
+    failures_ = 0;
+    if (parser_.head().keepAlive())
+        ask();
+    else
+        loop_.post([this] {
+            stream_->close();
+            connect();
+        });
+    return true;
+}
+
+void BusReader::streamEnded(net::Stream::End why) {
+    // An answer without a length ends with its connection.
+    if (why == net::Stream::End::closedByPeer && parser_.endOfStream() && takeAnswer()) return;
+    reconnect(why == net::Stream::End::refused     ? "connection refused"
+              : why == net::Stream::End::malformed ? "malformed answer"
+                                                   : "connection ended");
+}
+
+}  // namespace lotuslead::platform
--- /dev/null
+++ b/src/platform/bus.hpp
@@ -0,0 +1,50 @@
+// Reads the event bus: a long poll that is asked again at once, from the last event that was applied.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "../net/http.hpp"
+#include "../net/loop.hpp"
+#include "../net/stream.hpp"
+#include "../settings/settings.hpp"
+
+namespace lotuslead::platform {
+
+class BusReader : private net::Stream::User {
+public:
+    using Apply = std::function<void(const settings::BusEvent&)>;
+    struct Counters {
+        std::uint64_t polls = 0, events = 0, reconnects = 0;
+    };
+
+    BusReader(net::Loop& loop, const settings::Endpoint& bus, std::int64_t offset, Apply apply);
+    ~BusReader() override;
+    void start();
+    const Counters& counters() const { return counters_; }
+
+private:
+    void streamOpened() override;
+    bool streamData(std::string_view data) override;
+    void streamEnded(net::Stream::End why) override;
+
+    void connect();
+    void reconnect(const char* why);
+    void ask();
+    bool takeAnswer();
+    void arm(net::Micros delay, std::function<void()> task);
+
+    net::Loop& loop_;
+    settings::Endpoint bus_;
+    std::int64_t offset_;
+    Apply apply_;
+    Counters counters_;
+    net::HttpParser parser_;
+    std::shared_ptr<net::Stream> stream_;
+    std::optional<net::Loop::TimerKey> timer_;
+    int failures_ = 0;  // in a row
+};
+
+}  // namespace lotuslead::platform
--- /dev/null
+++ b/src/platform/front.hpp
@@ -0,0 +1,55 @@
+// The platform's front: CALL, CANCEL and CHECK of clients, over RESP.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "../core/requests.hpp"
+#include "../net/loop.hpp"
+#include "../net/resp.hpp"
+#include "../net/stream.hpp"
+
+namespace lotuslead::platform {
+
+class Front {
+public:
+    struct Counters {
+        std::uint64_t connections = 0, turnedAway = 0, malformed = 0, unusable = 0, noRoom = 0, checks = 0;
+    };
+
+    Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration);
+    ~Front();
+
+    void open();  // starts to listen
+    void stopListening();
+    void leave() { leaving_ = true; }  // tells checks so
+    bool idle() const;                 // nothing is owed and all answers are with the kernel
+    std::size_t clients() const { return clients_.size(); }
+    std::uint16_t port() const { return listener_->port(); }
+    const Counters& counters() const { return counters_; }
+
+private:
+    class Client;
+
+    void accept(net::Descriptor fd);
+    bool roomForOne() const;
+    void forget(Client* client);
+
+    net::Loop& loop_;
+    core::Requests& requests_;
+    const settings::Vocabulary& words_;
+    settings::Endpoint address_;
+    std::size_t mostClients_;
+    std::size_t mostBytes_;
+    std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read
+    bool leaving_ = false;
+    RequestId nextId_ = 1;
+    std::unique_ptr<net::Listener> listener_;
+    std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
+    Counters counters_;
+};
+
+}  // namespace lotuslead::platform
--- /dev/null
+++ b/src/platform/stores.cpp
@@ -0,0 +1,368 @@
+#include "stores.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+
+#include "fields.hpp"
+
+namespace lotuslead::platform {
+
+using core::AttemptEnd;
+using core::Micros;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Micros kConnectTimeout = 400ms;  // where the settings tell none
+constexpr Micros kIdleClose = 30s;
+constexpr std::size_t kStreams = 100;
+constexpr Micros kSilence = 1s;  // with attempts out and not a byte: the machine may be gone without a word
+
+Note noteOf(std::string_view word) {
+    constexpr std::array<std::pair<std::string_view, Note>, 10> notes{{{"local", Note::hit},
+                                                                       {"pulled", Note::filled},
+                                                                       {"pulled_far", Note::filledByOrigin},
+                                                                       {"rode", Note::joined},
+                                                                       {"expired", Note::stale},
+                                                                       {"turned_away", Note::sourceRefused},
+                                                                       {"cut_off", Note::sourceUnreached},
+                                                                       {"not_there", Note::sourceLacks},
+                                                                       {"no_place", Note::noFillPlace},
+                                                                       {"far_fault", Note::originFailed}}};
+    for (const auto& [name, note] : notes)
+        if (name == word) return note;
+    return Note::none;
+}
+
+std::optional<Outcome> outcomeOf(std::string_view word) {
+    if (word == "ok" || word == "current") return Outcome::served;
+    if (word == "nothing") return Outcome::noCopy;
+    if (word == "refused") return Outcome::notTaken;
+    if (word == "error") return Outcome::error;
+    if (word == "stale") return Outcome::notSent;
+    return std::nullopt;
+}
+
+std::string fieldsOf(const core::Request& request, const core::Verdict& send, Micros waited) {
+    const auto ms = [](Micros t) { return static_cast<std::int64_t>(t.count() / 1000); };
+    FieldWriter fields;
+    fields.add("profile", request.className);
+    fields.add("thing", request.object);
+    fields.add("nth", request.part);
+    fields.add("max", std::max<std::int64_t>(1, ms(send.timeout - waited)));
+    if (!request.key.empty()) fields.add("replay", request.key);
+    if (!send.source.empty()) fields.add("via", send.source);
+    if (send.keepRank > 0) fields.add("tier", send.keepRank);
+    // Rounded down, so that a copy from before a purge never passes; 0 would mean "any age".
+    if (send.oldest.count() > 0) fields.add("fresh", std::max<std::int64_t>(1, ms(send.oldest)));
+    std::string how;
+    const auto option = [&](bool on, const char* word) {
+        if (on) how += (how.empty() ? "" : "+") + std::string(word);
+    };
+    option(send.join, "share");
+    option(send.heldOnly, "peek");
+    option(send.renew, "swr");
+    if (!how.empty()) fields.add("opts", how);
+    if (!request.known.empty()) fields.add("known", request.known);
+    return std::string(fields.text());
+}
+
+}  // namespace
+
+// One connection. A PULL is put into words only when its first byte can go out at once: until then it can be
+// taken back, and what has changed since it was picked is looked at again.
+class Stores::Link : public net::Stream::User, public std::enable_shared_from_this<Link> {
+public:
+    Link(Stores& owner, std::string host, const settings::Endpoint& to)
+        : owner_(owner),
+          host_(std::move(host)),
+          lastByte_(owner.loop_.now()),
+          stream_(owner.loop_, to, *this) {
+        ++owner_.counters_.connects;
+        timer_ = owner_.loop_.after(owner_.connectTimeout_, [this] {
+            timed_ = false;
+            fail(Outcome::noConnection);
+        });
+        timed_ = true;
+    }
+    ~Link() override { stopTimer(); }
+
+    bool usable() const { return !ended_ && !shunned_; }
+    std::size_t load() const { return out_.size() + waiting_.size(); }
+    bool knows(const std::string& label) const { return out_.count(label) > 0 || given_.count(label) > 0; }
+
+    void pull(const core::Request& request, const core::Verdict& send) {
+        stopIdleTimer();
+        waiting_.push_back({request.label, &request, send});
+        flush();
+    }
+
+    // True: no byte of it was written.
+    bool kill(RequestId request, int attempt) {
+        const auto queued = std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& w) {
+            return w.send.request == request && w.send.attempt == attempt;
+        });
+        if (queued != waiting_.end()) {
+            waiting_.erase(queued);
+            restIfIdle();
+            return true;
+        }
+        for (auto it = out_.begin(); it != out_.end(); ++it) {
+            if (it->second.request != request || it->second.attempt != attempt) continue;
+            std::string words;
+            net::appendResp(words, {"KILL", it->first});
+            remember(it->first);
+            if (owner_.loop_.now() - std::max(lastByte_, it->second.writtenAt) > kSilence) shunned_ = true;
+            out_.erase(it);
+            stream_.write(std::move(words));
+            restIfIdle();
+            return false;
+        }
+        return false;
+    }
+
+    // The process behind it has gone: what was written may have run.
+    void fail(Outcome whenWritten) {
+        if (std::exchange(ended_, true)) return;
+        stopTimer();
+        stream_.close();
+        const auto self = shared_from_this();
+        for (const Waiting& w : waiting_) report(w.send.request, w.send.attempt, Outcome::noConnection);
+        for (const auto& [label, sent] : out_) report(sent.request, sent.attempt, whenWritten);
+        waiting_.clear();
+        out_.clear();
+        owner_.loop_.retire(self);
+        owner_.drop(host_, this);
+    }
+
+private:
+    struct Waiting {
+        std::string label;
+        const core::Request* request;  // lives at least as long as the attempt is out
+        core::Verdict send;
+    };
+    struct Sent {
+        RequestId request;
+        int attempt;
+        Micros writtenAt;
+    };
+
+    void streamOpened() override {
+        stopTimer();
+        flush();
+        restIfIdle();
+    }
+    void streamDrained() override { flush(); }
+    void streamEnded(net::Stream::End why) override {
+        using End = net::Stream::End;
+        if (why == End::refused) ++owner_.counters_.connectFailures;
+        if (why == End::malformed) {
+            ++owner_.counters_.malformed;
+            std::fprintf(stderr, "store %s: malformed answer, connection closed\n", host_.c_str());
+        }
+        if (why == End::reset || (why == End::closedByPeer && !out_.empty())) ++owner_.counters_.resets;
+        fail(why == End::refused ? Outcome::noConnection : Outcome::broken);
+    }
+    bool streamData(std::string_view data) override {
+        lastByte_ = owner_.loop_.now();
+        while (!data.empty()) {
+            const auto status = parser_.feed(data);
+            if (status == net::RespParser::Status::malformed) return false;
+            if (status == net::RespParser::Status::message && !take(parser_.take())) return false;
+        }
+        return true;
+    }
+
+    bool take(std::vector<std::string> words) {
+        if (words.size() < 2) return false;
+        const auto outcome = outcomeOf(words[1]);
+        const auto found = out_.find(words[0]);
+        if (found == out_.end()) {  // of an attempt given up, whose end was on its way already
+            given_.erase(words[0]);
+            ++owner_.counters_.lateAnswers;
+            return true;
+        }
+        if (!outcome) return false;
+        const Fields fields(words.size() > 2 ? std::string_view(words[2]) : std::string_view{});
+        AttemptEnd end;
+        end.request = found->second.request;
+        end.attempt = found->second.attempt;
+        end.outcome = *outcome;
+        end.note = noteOf(fields.text("remark"));
+        if (*outcome == Outcome::served) {
+            end.payload.unchanged = words[1] == "current";
+            if (words.size() > 3) end.payload.body = std::move(words[3]);
+        }
+        out_.erase(found);
+        owner_.tell(std::move(end));
+        restIfIdle();
+        return true;
+    }
+
+    void flush() {
+        while (stream_.opened() && !waiting_.empty() && stream_.unsent() == 0) {
+            const Waiting next = std::move(waiting_.front());
+            waiting_.pop_front();
+            const Micros now = owner_.loop_.now();
+            const Micros waited = now - next.send.pickedAt;
+            if (waited.count() > 0 && !owner_.callbacks_.holds(next.send.request, next.send.attempt)) {
+                ++owner_.counters_.heldBack;
+                report(next.send.request, next.send.attempt, Outcome::notSent);
+                continue;
+            }
+            const core::Request& request = *next.request;
+            out_[next.label] = {next.send.request, next.send.attempt, now};
+            std::string words;
+            const std::string fields = fieldsOf(request, next.send, waited);
+            net::appendResp(words, {"PULL", next.label, fields, request.body});
+            stream_.write(std::move(words));
+        }
+    }
+
+    // Most are never heard of again: an answer that is to come at all comes within seconds.
+    void remember(const std::string& label) {
+        constexpr std::size_t kMany = 256;
+        constexpr Micros kLate = 10s;
+        const Micros now = owner_.loop_.now();
+        if (given_.size() >= kMany)
+            std::erase_if(given_, [&](const auto& g) { return now - g.second > kLate; });
+        given_[label] = now;
+    }
+
+    void report(RequestId request, int attempt, Outcome outcome) {
+        AttemptEnd end;
+        end.request = request;
+        end.attempt = attempt;
+        end.outcome = outcome;
+        owner_.tell(std::move(end));
+    }
+
+    // Closed before the store would: a PULL that crosses its close would count as broken.
+    void restIfIdle() {
+        if (ended_ || !stream_.opened() || load() > 0 || timed_) return;
+        timed_ = true;
+        const Micros wait = shunned_ ? Micros{0} : owner_.idleClose_;
+        timer_ = owner_.loop_.after(wait, [this] {
+            timed_ = false;
+            fail(Outcome::broken);
+        });
+    }
+    void stopIdleTimer() {
+        if (stream_.opened()) stopTimer();
+    }
+    void stopTimer() {
+        if (std::exchange(timed_, false)) owner_.loop_.cancel(timer_);
+    }
+
+    Stores& owner_;
+    std::string host_;
+    Micros lastByte_;
+    net::RespParser parser_;
+    std::deque<Waiting> waiting_;
+    std::unordered_map<std::string, Sent> out_;
+    std::unordered_map<std::string, Micros> given_;  // given up, and when; their answers may still come
+    net::Loop::TimerKey timer_{};
+    bool timed_ = false;
+    bool ended_ = false;
+    bool shunned_ = false;  // silent too long: no new attempt goes here
+    net::Stream stream_;
+};
+
+Stores::Stores(net::Loop& loop, const settings::Vocabulary& words)
+    : loop_(loop),
+      connectTimeout_(words.connectTimeout.count() > 0
+                          ? std::chrono::duration_cast<Micros>(words.connectTimeout)
+                          : kConnectTimeout),
+      idleClose_(words.idleClose.count() > 0 ? std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10
+                                             : kIdleClose),
+      streams_(words.streamsPerConnection > 0 ? static_cast<std::size_t>(words.streamsPerConnection)
+                                              : kStreams) {}
+
+Stores::~Stores() = default;
+
+void Stores::list(const settings::BusEvent& event) {
+    if (event.whole) {
+        for (auto& [name, store] : stores_) {
+            const bool kept = std::any_of(event.stores.begin(), event.stores.end(),
+                                          [&](const settings::ListedStore& s) { return s.name == name; });
+            if (!kept) dropAll(store);
+        }
+    }
+    for (const settings::ListedStore& listed : event.stores) {
+        Store& store = stores_[listed.name];
+        // A restart has ended whatever the old process held; and an address may have a new owner.
+        const bool restarted = listed.sinceMs > store.sinceMs && !store.address.empty();
+        const bool moved = !listed.address.empty() && listed.address != store.address;
+        if (restarted || moved || listed.readiness == Readiness::gone) dropAll(store);
+        if (!listed.address.empty()) store.address = listed.address;
+        store.sinceMs = listed.sinceMs;
+    }
+}
+
+void Stores::dropAll(Store& store) {
+    const auto links = store.links;
+    for (const auto& link : links) link->fail(Outcome::broken);
+}
+
+void Stores::drop(const std::string& host, Link* link) {
+    const auto found = stores_.find(host);
+    if (found == stores_.end()) return;
+    std::erase_if(found->second.links, [&](const auto& held) { return held.get() == link; });
+}
+
+std::shared_ptr<Stores::Link> Stores::linkFor(const std::string& host, const std::string& label) {
+    Store& store = stores_[host];
+    std::shared_ptr<Link> best;
+    for (const auto& link : store.links) {
+        // Two attempts of one id on one connection: a late answer to the first would pass for the second's.
+        if (!link->usable() || link->load() >= streams_ || link->knows(label)) continue;
+        if (!best || link->load() < best->load()) best = link;
+    }
+    if (best) return best;
+    best = std::make_shared<Link>(*this, host, settings::readEndpoint(store.address, "address"));
+    store.links.push_back(best);
+    return best;
+}
+
+void Stores::send(Micros, const core::Request& request, const core::Verdict& send) {
+    try {
+        const auto link = linkFor(send.host, request.label);
+        places_[request.id] = {link, send.attempt};
+        link->pull(request, send);
+    } catch (const settings::Malformed& problem) {
+        std::fprintf(stderr, "store %s: %s\n", send.host.c_str(), problem.what());
+        AttemptEnd end;
+        end.request = request.id;
+        end.attempt = send.attempt;
+        end.outcome = Outcome::noConnection;
+        tell(std::move(end));
+    }
+}
+
+bool Stores::cancel(Micros, RequestId request, int attempt) {
+    const auto found = places_.find(request);
+    if (found == places_.end() || found->second.attempt != attempt) return false;
+    const auto link = found->second.link.lock();
+    places_.erase(found);
+    return link ? link->kill(request, attempt) : false;
+}
+
+void Stores::tell(AttemptEnd end) {
+    // Later in the turn: the caller may be in the middle of the very request that this is about.
+    auto shared = std::make_shared<AttemptEnd>(std::move(end));
+    loop_.post([this, shared] {
+        const auto found = places_.find(shared->request);
+        if (found == places_.end() || found->second.attempt != shared->attempt) return;
+        places_.erase(found);
+        callbacks_.ended(std::move(*shared));
+    });
+}
+
+std::size_t Stores::connections() const {
+    std::size_t count = 0;
+    for (const auto& [name, store] : stores_) count += store.links.size();
+    return count;
+}
+
+}  // namespace lotuslead::platform
--- /dev/null
+++ b/src/platform/stores.hpp
@@ -0,0 +1,67 @@
+// Carries attempts to stores, parents and the origin: PULL and KILL over connections that are kept.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "../core/requests.hpp"
+#include "../net/loop.hpp"
+#include "../net/resp.hpp"
+#include "../net/stream.hpp"
+
+namespace lotuslead::platform {
+
+class Stores : public core::Carrier {
+public:
+    struct Callbacks {
+        std::function<bool(RequestId, int)> holds;  // may this attempt still be begun?
+        std::function<void(core::AttemptEnd)> ended;
+    };
+    struct Counters {
+        std::uint64_t connects = 0, connectFailures = 0, resets = 0, malformed = 0, lateAnswers = 0,
+                      heldBack = 0;
+    };
+
+    Stores(net::Loop& loop, const settings::Vocabulary& words);
+    ~Stores() override;
+
+    void listen(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
+    void list(const settings::BusEvent& event);
+
+    void send(core::Micros now, const core::Request& request, const core::Verdict& send) override;
+    bool cancel(core::Micros now, RequestId request, int attempt) override;
+
+    const Counters& counters() const { return counters_; }
+    std::size_t connections() const;
+
+private:
+    class Link;
+    struct Store {
+        std::string address;
+        std::int64_t sinceMs = 0;
+        std::vector<std::shared_ptr<Link>> links;
+    };
+    struct Place {
+        std::weak_ptr<Link> link;
+        int attempt = 0;
+    };
+
+    std::shared_ptr<Link> linkFor(const std::string& host, const std::string& label);
+    void tell(core::AttemptEnd end);
+    void drop(const std::string& host, Link* link);
+    void dropAll(Store& store);
+
+    net::Loop& loop_;
+    core::Micros connectTimeout_, idleClose_;
+    std::size_t streams_;
+    Callbacks callbacks_;
+    Counters counters_;
+    std::unordered_map<std::string, Store> stores_;
+    std::unordered_map<RequestId, Place> places_;  // of the attempts that are out
+};
+
+}  // namespace lotuslead::platform
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,315 @@
+#include "settings.hpp"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+#include <cmath>
+
+namespace lotuslead::settings {
+
+using nlohmann::json;
+
+namespace {
+
+[[noreturn]] void wrongType(const std::string& key, const char* wanted) {
+    throw Malformed("field '" + key + "' is not " + wanted);
+}
+
+// Absent and null are the same.
+const json* valueAt(const json& object, const std::string& key) {
+    if (!object.is_object()) throw Malformed("'" + key + "' sought in no object");
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? nullptr : &*found;
+}
+
+double number(const json& value, const std::string& key) {
+    if (!value.is_number()) wrongType(key, "a number");
+    return value.get<double>();
+}
+
+double numberOr(const json& object, const std::string& key, double fallback) {
+    const json* value = valueAt(object, key);
+    return value ? number(*value, key) : fallback;
+}
+
+std::int64_t wholeOr(const json& object, const std::string& key, std::int64_t fallback) {
+    const json* value = valueAt(object, key);
+    if (!value) return fallback;
+    if (value->is_number_integer()) return value->get<std::int64_t>();
+    const double real = number(*value, key);
+    if (!(std::abs(real) < 9e18)) wrongType(key, "a number in range");
+    return std::llround(real);
+}
+
+Time timeOr(const json& object, const std::string& key) { return Time{wholeOr(object, key, 0)}; }
+
+bool flagOr(const json& object, const std::string& key, bool fallback) {
+    const json* value = valueAt(object, key);
+    if (!value) return fallback;
+    if (!value->is_boolean()) wrongType(key, "true or false");
+    return value->get<bool>();
+}
+
+std::string textOr(const json& object, const std::string& key, const std::string& fallback) {
+    const json* value = valueAt(object, key);
+    if (!value) return fallback;
+    if (value->is_string()) return value->get<std::string>();
+    if (value->is_number_integer() && value->get<std::int64_t>() == 0)
+        return fallback;  // 0 stands for an absent name
+    wrongType(key, "text");
+}
+
+std::string needText(const json& object, const std::string& key) {
+    std::string text = textOr(object, key, "");
+    if (text.empty()) throw Malformed("field '" + key + "' is missing or empty");
+    return text;
+}
+
+const json& listOrEmpty(const json& object, const std::string& key) {
+    static const json empty = json::array();
+    const json* value = valueAt(object, key);
+    if (!value) return empty;
+    if (!value->is_array()) wrongType(key, "a list");
+    return *value;
+}
+
+const json& objectOrEmpty(const json& object, const std::string& key) {
+    static const json empty = json::object();
+    const json* value = valueAt(object, key);
+    return value ? *value : empty;
+}
+
+Effect effectOf(const std::string& word) {
+    if (word == "free") return Effect::safe;
+    if (word == "guarded") return Effect::keyed;
+    if (word == "single_shot") return Effect::unsafe;
+    throw Malformed("unknown effect '" + word + "'");
+}
+
+RepeatGroup groupOf(const std::string& word) {
+    if (word == "all") return RepeatGroup::all;
+    if (word == "zone") return RepeatGroup::zone;
+    if (word == "cell") return RepeatGroup::cell;
+    throw Malformed("unknown group '" + word + "'");
+}
+
+Weights weightsOf(const std::string& word) {
+    if (word == "nominal") return Weights::nominal;
+    if (word == "rough") return Weights::rough;
+    if (word == "live") return Weights::live;
+    return Weights::none;
+}
+
+Siblings siblingsOf(const std::string& word) {
+    if (word == "any") return Siblings::any;
+    if (word == "location") return Siblings::zone;
+    return Siblings::none;
+}
+
+ClassSettings readClass(const json& entry) {
+    ClassSettings result;
+    result.aim = timeOr(entry, "aim");
+    result.aimStretch = numberOr(entry, "aimStretch", 0);
+    result.giveUp = timeOr(entry, "hardLimit");
+    result.worth = numberOr(entry, "value", 1);
+    result.lateWorth = numberOr(entry, "lateValue", 0);
+    result.effect = effectOf(textOr(entry, "effect", "single_shot"));
+    result.group = groupOf(textOr(entry, "group", "all"));
+    result.repeatWindow = timeOr(entry, "window");
+    result.streamed = flagOr(entry, "stream", false);
+    return result;
+}
+
+template <class Set>
+void eachClass(Settings& settings, const json& extra, const std::string& key, Set set) {
+    std::size_t at = 0;
+    for (const json& item : listOrEmpty(extra, key)) {
+        if (at < settings.classes.size() && !item.is_null()) set(settings.classes[at], item);
+        ++at;
+    }
+}
+
+std::string shapeAt(const json& info, std::int64_t place) {
+    const json& shapes = listOrEmpty(info, "shapes");
+    if (place < 0 || static_cast<std::size_t>(place) >= shapes.size()) return {};
+    const json& name = shapes[static_cast<std::size_t>(place)];
+    return name.is_string() ? name.get<std::string>() : std::string{};
+}
+
+void readExtra(Vocabulary& words, const json& info, const json& extra) {
+    Settings& settings = words.settings;
+    settings.direct = flagOr(extra, "direct", false);
+    settings.joins = flagOr(extra, "joins", false);
+    settings.paceKb = numberOr(extra, "flowKbPerS", 0);
+    settings.siblings = siblingsOf(textOr(extra, "siblings", "silent"));
+    settings.notesTold = textOr(extra, "noteLevel", "silent") == "all";
+    settings.purgeGrace = timeOr(extra, "obeyAfter");
+    settings.purgeSettles = timeOr(extra, "purgeSettles");
+    settings.parentColdFrom = numberOr(extra, "parentFloor", 1);
+    settings.parentWarmWithin = timeOr(extra, "parentRamp");
+    settings.parentFallMultiple = numberOr(extra, "parentBreaksAt", 0);
+    settings.originFallMultiple = numberOr(extra, "rootFallMultiple", 0);
+    settings.originFallWindow = timeOr(extra, "rootFall");
+    words.parentShape = shapeAt(info, wholeOr(extra, "parentKind", -1));
+    words.originShape = shapeAt(info, wholeOr(extra, "originKind", -1));
+    const auto whole = [](const json& item, const char* key) { return static_cast<int>(number(item, key)); };
+    for (const json& item : listOrEmpty(extra, "hubOf")) settings.zoneHub.push_back(whole(item, "hubOf"));
+    for (const json& item : listOrEmpty(extra, "instancesByZone"))
+        settings.routersByZone.push_back(whole(item, "instancesByZone"));
+    for (const json& item : listOrEmpty(extra, "inletKbPerS"))
+        settings.zoneLinkKb.push_back(number(item, "inletKbPerS"));
+    const auto time = [](const json& item, const char* key) {
+        return Time{static_cast<std::int64_t>(std::llround(number(item, key)))};
+    };
+    const auto flag = [](const json& item, const char* key) {
+        if (!item.is_boolean()) wrongType(key, "true or false");
+        return item.get<bool>();
+    };
+    eachClass(settings, extra, "maxAge",
+              [&](ClassSettings& c, const json& item) { c.freshFor = time(item, "maxAge"); });
+    eachClass(settings, extra, "staleFor",
+              [&](ClassSettings& c, const json& item) { c.staleFor = time(item, "staleFor"); });
+    eachClass(settings, extra, "staleEarns",
+              [&](ClassSettings& c, const json& item) { c.staleWorth = number(item, "staleEarns"); });
+    eachClass(settings, extra, "inParts",
+              [&](ClassSettings& c, const json& item) { c.inParts = flag(item, "inParts"); });
+    eachClass(settings, extra, "neverKept",
+              [&](ClassSettings& c, const json& item) { c.neverKept = flag(item, "neverKept"); });
+}
+
+Readiness readinessOf(const std::string& word) {
+    if (word == "up") return Readiness::ready;
+    if (word == "draining") return Readiness::draining;
+    if (word == "removed") return Readiness::gone;
+    throw Malformed("unknown status '" + word + "'");
+}
+
+BusEvent readEvent(const json& entry) {
+    BusEvent event;
+    event.offset = wholeOr(entry, "offset", 0);
+    if (const json* list = valueAt(entry, "topology")) {
+        event.isList = true;
+        event.whole = flagOr(*list, "snapshot", false);
+        for (const json& item : listOrEmpty(*list, "endpoints")) {
+            ListedStore store;
+            store.name = needText(item, "name");
+            store.address = textOr(item, "address", "");
+            store.zone = textOr(item, "zone", "");
+            store.shape = textOr(item, "type", "");
+            store.cell = wholeOr(item, "group", 0);
+            store.weight = numberOr(item, "weight", 1);
+            store.sinceMs = wholeOr(item, "since_ms", 0);
+            store.readiness = readinessOf(textOr(item, "status", "up"));
+            event.stores.push_back(std::move(store));
+        }
+    } else if (const json* ban = valueAt(entry, "ban")) {
+        event.purgedObject = textOr(*ban, "url", "");
+        event.purgedGroup = wholeOr(*ban, "tag", 0);
+        event.purgedMs = wholeOr(*ban, "ts", 0);
+    }
+    return event;
+}
+
+}  // namespace
+
+Role Vocabulary::roleOf(const std::string& shape) const {
+    if (!originShape.empty() && shape == originShape) return Role::origin;
+    if (!parentShape.empty() && shape == parentShape) return Role::parent;
+    return Role::cache;
+}
+
+int Vocabulary::zoneOf(const std::string& name) const {
+    const auto found = zones.find(name);
+    return found == zones.end() ? -1 : found->second;
+}
+
+Vocabulary readSettings(const json& info) {
+    Vocabulary words;
+    Settings& settings = words.settings;
+    for (const json& item : listOrEmpty(info, "categories")) {
+        words.classes.emplace(textOr(item, "name", ""), static_cast<int>(settings.classes.size()));
+        settings.classes.push_back(readClass(item));
+    }
+    int place = 0;
+    for (const json& item : listOrEmpty(info, "zones")) {
+        if (!item.is_string()) wrongType("zones", "a list of names");
+        words.zones.emplace(item.get<std::string>(), place++);
+    }
+    settings.zone = words.zoneOf(textOr(info, "zone", ""));
+    settings.routers = static_cast<int>(wholeOr(info, "balancers", 1));
+    settings.weights = weightsOf(textOr(info, "weights", "silent"));
+    settings.mustAskForList = textOr(info, "discovery", "pushed") == "on_request";
+
+    const json& allowed = objectOrEmpty(info, "allowed");
+    settings.secondCopies = flagOr(allowed, "secondCopies", false);
+    settings.mayCancel = flagOr(allowed, "mayCancel", false);
+    settings.mayProbe = flagOr(allowed, "mayProbe", false);
+    settings.retryHints = flagOr(allowed, "retryAfter", false);
+    settings.mostTries = static_cast<int>(wholeOr(allowed, "mostTries", 1));
+    settings.maxRetryHint = timeOr(allowed, "maxRetryAfter");
+    words.connectTimeout = timeOr(allowed, "connectTimeout");
+    words.idleClose = timeOr(allowed, "keepalive");
+    words.streamsPerConnection = static_cast<int>(wholeOr(allowed, "streamsPerConn", 0));
+
+    const json& rules = objectOrEmpty(info, "obligations");
+    settings.answerGrace = timeOr(rules, "graceToAnswer");
+    settings.askWithin = timeOr(rules, "askWithin");
+    settings.drainGrace = timeOr(rules, "stopSendingWithin");
+    settings.coldFrom = numberOr(rules, "coldFrom", 1);
+    settings.warmWithin = timeOr(rules, "warmWithin");
+    settings.fallMultiple = numberOr(rules, "fallMultiple", 0);
+    settings.fallWindow = timeOr(rules, "fall");
+
+    readExtra(words, info, objectOrEmpty(info, "extra"));
+    return words;
+}
+
+Endpoint readEndpoint(const std::string& text, const std::string& field) {
+    const auto colon = text.rfind(':');
+    Endpoint result;
+    in_addr parsed{};
+    unsigned port = 0;
+    if (colon != std::string::npos) {
+        result.host = text.substr(0, colon);
+        const char* end = text.data() + text.size();
+        const auto read = std::from_chars(text.data() + colon + 1, end, port);
+        if (read.ec != std::errc{} || read.ptr != end) port = 65536;
+    }
+    if (colon == std::string::npos || port > 65535 || inet_pton(AF_INET, result.host.c_str(), &parsed) != 1)
+        throw Malformed("field '" + field + "' is not address:port: '" + text + "'");
+    result.port = static_cast<std::uint16_t>(port);
+    return result;
+}
+
+Configuration readConfiguration(const std::string& text) {
+    const json root = json::parse(text, nullptr, false);
+    if (root.is_discarded()) throw Malformed("the configuration is no JSON");
+    Configuration result;
+    result.name = textOr(root, "name", "");
+    result.listen = readEndpoint(needText(root, "listen"), "listen");
+    const std::string seed = textOr(root, "seed", "0");
+    const auto read = std::from_chars(seed.data(), seed.data() + seed.size(), result.seed, 16);
+    if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size())
+        throw Malformed("field 'seed' is not hexadecimal");
+    const json& limits = objectOrEmpty(root, "limits");
+    result.limits.memoryMb = static_cast<int>(wholeOr(limits, "memory_mb", result.limits.memoryMb));
+    result.limits.sockets = static_cast<int>(wholeOr(limits, "sockets", result.limits.sockets));
+    if (result.limits.memoryMb < 32) throw Malformed("field 'limits.memory_mb' is under 32");
+    if (result.limits.sockets < 64) throw Malformed("field 'limits.sockets' is under 64");
+    if (const std::string bus = textOr(root, "bus", ""); !bus.empty()) result.bus = readEndpoint(bus, "bus");
+    result.known = objectOrEmpty(root, "known");
+    const json* info = valueAt(root, "settings");
+    if (!info) throw Malformed("field 'settings' is missing");
+    result.words = readSettings(*info);
+    if (result.words.settings.classes.empty()) throw Malformed("field 'settings.categories' is empty");
+    return result;
+}
+
+BusBatch readBatch(const json& batch) {
+    BusBatch result;
+    result.offset = wholeOr(batch, "offset", 0);
+    for (const json& entry : listOrEmpty(batch, "batch")) result.events.push_back(readEvent(entry));
+    return result;
+}
+
+}  // namespace lotuslead::settings
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,84 @@
+// The one decoder of the settings, of the gateway's configuration and of the event bus's events.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lotuslead/router.hpp"
+
+namespace lotuslead::settings {
+
+// The message names the field at fault and fits one line.
+struct Malformed : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// The settings, and the names by which later events refer to them.
+struct Vocabulary {
+    Settings settings;
+    std::unordered_map<std::string, int> classes;
+    std::unordered_map<std::string, int> zones;
+    std::string parentShape;  // empty: the site has no parents
+    std::string originShape;
+    Time connectTimeout{};  // zero: not told
+    Time idleClose{};       // zero: not told
+    int streamsPerConnection = 0;
+
+    Role roleOf(const std::string& shape) const;
+    int zoneOf(const std::string& name) const;
+};
+
+Vocabulary readSettings(const nlohmann::json& info);
+
+struct Endpoint {
+    std::string host;  // numeric
+    std::uint16_t port = 0;
+};
+Endpoint readEndpoint(const std::string& text, const std::string& field);
+
+struct Limits {
+    int memoryMb = 192;
+    int sockets = 1024;
+};
+
+struct Configuration {
+    std::string name;
+    Endpoint listen;
+    std::uint64_t seed = 0;
+    Limits limits;
+    std::optional<Endpoint> bus;
+    nlohmann::json known;  // the events up to now, in the form of the event bus
+    Vocabulary words;
+};
+
+Configuration readConfiguration(const std::string& text);
+
+// One event of the event bus: a change of the list, or a purge.
+struct ListedStore {
+    std::string name, address, zone, shape;
+    std::int64_t cell = 0;
+    double weight = 1;
+    std::int64_t sinceMs = 0;  // Unix milliseconds of a late start, or 0
+    Readiness readiness = Readiness::ready;
+};
+struct BusEvent {
+    std::int64_t offset = 0;
+    bool isList = false;
+    bool whole = false;
+    std::vector<ListedStore> stores;
+    std::string purgedObject;  // empty: the whole group
+    std::int64_t purgedGroup = 0;
+    std::int64_t purgedMs = 0;  // Unix milliseconds
+};
+struct BusBatch {
+    std::int64_t offset = 0;
+    std::vector<BusEvent> events;
+};
+BusBatch readBatch(const nlohmann::json& batch);
+
+}  // namespace lotuslead::settings
