Add the repository front on the same core, and stories of the platform's front

The gateway is now one object with phases that holds services: the platform's and the repository's, each with its front, decisions and carrier on the shared core. The repository front is off unless LB_REPOSITORY names its configuration.

--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -115,10 +115,14 @@
 bool Decisions::holds(const Request& request, const Verdict& send) const {
     const auto ready = [&](const std::string& name) { return readinessOf(name) == Readiness::ready; };
     if (!ready(send.host) || (!send.source.empty() && !ready(send.source))) return false;
+    return !purgedSince(request, send.pickedAt);
+}
+
+bool Decisions::purgedSince(const Request& request, Micros when) const {
     const auto object = objectPurges_.find(request.object);
-    if (object != objectPurges_.end() && object->second >= send.pickedAt) return false;
+    if (object != objectPurges_.end() && object->second >= when) return true;
     const auto group = groupPurges_.find(request.group);
-    return group == groupPurges_.end() || group->second < send.pickedAt;
+    return group != groupPurges_.end() && group->second >= when;
 }
 
 Readiness Decisions::readinessOf(const std::string& host) const {
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -30,6 +30,9 @@
     // A late word on an attempt that was given up is nobody's any more.
     if (found == jobs_.end() || !found->second.out || found->second.send.attempt != end.attempt) return;
     Job& job = found->second;
+    if (end.outcome == Outcome::served && purged_ == PurgedMeanwhile::fetchAnew &&
+        decisions_.purgedSince(job.request, job.send.pickedAt))
+        end.outcome = Outcome::notSent;
     if (end.outcome == Outcome::served && !job.answered) {
         Reply reply;
         reply.word = Reply::Word::served;
@@ -87,7 +90,7 @@
             reply.word = verdict.verb == Verb::refuse ? Reply::Word::refused : Reply::Word::failed;
             reply.pause = verdict.pause;
             reply.late = now >= job.request.deadline;
-            reply.reached = job.tried;
+            reply.last = job.last;
             finish(job, std::move(reply));
             forgetIfDone(verdict.request);
         }
@@ -98,7 +101,6 @@
     job.send = std::move(send);
     job.sentAt = now;
     job.out = true;
-    job.tried = true;
     // Never past the deadline: the final answer is owed by then.
     Micros until = job.request.deadline;
     if (job.send.timeout.count() > 0) until = std::min(until, now + job.send.timeout);
@@ -109,6 +111,7 @@
 
 std::vector<Verdict> Requests::close(Micros now, Job& job, Outcome outcome, Note note) {
     job.out = false;
+    job.last = outcome;
     const Micros until = job.send.timeout.count() > 0
                              ? std::min(job.request.deadline, job.sentAt + job.send.timeout)
                              : job.request.deadline;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -24,9 +25,9 @@
 
 struct Reply {
     enum class Word { served, refused, failed } word = Word::failed;
-    Micros pause{};        // with a refusal
-    bool late = false;     // the deadline ended it
-    bool reached = false;  // some upstream was tried
+    Micros pause{};               // with a refusal
+    bool late = false;            // the deadline ended it
+    std::optional<Outcome> last;  // of its last attempt, if it had one
     Payload payload;
 };
 
@@ -58,7 +59,12 @@
 public:
     using Answer = std::function<void(RequestId, Reply&&)>;
 
-    Requests(Decisions& decisions, Carrier& carrier) : decisions_(decisions), carrier_(carrier) {}
+    // What was asked for before a purge was told and comes in after it may be older than the purge. The
+    // platform's rule counts from the send; a front that promises more has such answers fetched anew.
+    enum class PurgedMeanwhile { serve, fetchAnew };
+
+    Requests(Decisions& decisions, Carrier& carrier, PurgedMeanwhile purged = PurgedMeanwhile::serve)
+        : decisions_(decisions), carrier_(carrier), purged_(purged) {}
 
     void take(Micros now, Request request, Answer answer);
     void withdraw(Micros now, RequestId request);  // the client has gone: no answer is owed
@@ -80,7 +86,7 @@
         Micros sentAt{};
         bool out = false;  // an attempt is
         bool answered = false;
-        bool tried = false;
+        std::optional<Outcome> last;
     };
 
     void follow(Micros now, std::vector<Verdict> verdicts);
@@ -91,6 +97,7 @@
 
     Decisions& decisions_;
     Carrier& carrier_;
+    PurgedMeanwhile purged_;
     std::unordered_map<RequestId, Job> jobs_;
     std::set<std::tuple<Micros, RequestId, int>> timeouts_;
     std::size_t open_ = 0;
--- /dev/null
+++ b/src/core/service.hpp
@@ -0,0 +1,74 @@
+// What the gateway asks of each of its fronts, with all that stands behind it.
+#pragma once
+
+#include <cstdint>
+#include <cstdio>
+#include <initializer_list>
+#include <string>
+#include <utility>
+
+#include "requests.hpp"
+
+namespace lotuslead::core {
+
+class Service {
+public:
+    virtual ~Service() = default;
+    virtual void open() = 0;            // begins to listen
+    virtual void turn(Micros now) = 0;  // what is due by the clock
+    virtual Micros nextTurn() const = 0;
+    virtual void leave() = 0;  // the process is to end: health checks are told
+    virtual void stopListening() = 0;
+    virtual std::size_t openRequests() const = 0;
+    virtual bool settled() const = 0;  // no answer is owed, and all are with the kernel
+    virtual Micros longestDeadline() const = 0;
+    virtual void printCounters() const = 0;
+};
+
+using Figures = std::initializer_list<std::pair<const char*, std::uint64_t>>;
+
+inline void printFigures(const std::string& name, const char* what, Figures figures) {
+    std::string text = name + ": " + what;
+    for (const auto& [key, value] : figures) text += " " + std::string(key) + "=" + std::to_string(value);
+    std::fprintf(stderr, "%s\n", text.c_str());
+}
+
+inline void printRequestCounters(const std::string& name, const Requests& requests) {
+    const Counters& r = requests.counters();
+    printFigures(name, "requests",
+                 {{"taken", r.taken},
+                  {"served", r.served},
+                  {"unchanged", r.unchanged},
+                  {"refused", r.refused},
+                  {"failed", r.failed},
+                  {"gone", r.gone},
+                  {"overdue", r.overdue},
+                  {"open", requests.open()}});
+    const auto of = [&](Outcome outcome) { return r.outcomes[static_cast<std::size_t>(outcome)]; };
+    printFigures(name, "attempts",
+                 {{"sent", r.sent},
+                  {"served", of(Outcome::served)},
+                  {"error", of(Outcome::error)},
+                  {"not_taken", of(Outcome::notTaken)},
+                  {"timed_out", of(Outcome::timedOut)},
+                  {"no_connection", of(Outcome::noConnection)},
+                  {"broken", of(Outcome::broken)},
+                  {"cancelled", of(Outcome::cancelled)},
+                  {"not_sent", of(Outcome::notSent)},
+                  {"no_copy", of(Outcome::noCopy)}});
+}
+
+// Beyond the monotonic clock: the Unix clock stands on the wire only, and by this one offset.
+inline Micros unixAhead(Micros now) {
+    const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Micros>(unixNow) - now;
+}
+
+inline Micros longestGiveUp(const Settings& settings) {
+    Micros longest{};
+    for (const ClassSettings& c : settings.classes)
+        longest = std::max(longest, std::chrono::duration_cast<Micros>(c.giveUp));
+    return longest;
+}
+
+}  // namespace lotuslead::core
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,16 +1,11 @@
-// One gateway: its parts, and its phases from start to exit.
+// One gateway: its fronts on one loop, and its phases from start to exit.
 #pragma once
 
-#include <csignal>
 #include <memory>
-#include <string>
+#include <vector>
 
-#include "../core/decisions.hpp"
-#include "../core/requests.hpp"
+#include "../core/service.hpp"
 #include "../net/loop.hpp"
-#include "../platform/bus.hpp"
-#include "../platform/front.hpp"
-#include "../platform/stores.hpp"
 
 namespace lotuslead::gateway {
 
@@ -18,9 +13,11 @@
 public:
     enum class Phase { starting, serving, draining, stopped };
 
-    explicit Gateway(settings::Configuration configuration);
+    Gateway();
     ~Gateway() override;
 
+    net::Loop& loop() { return loop_; }
+    void add(std::unique_ptr<core::Service> service) { services_.push_back(std::move(service)); }
     int run();  // until it has stopped; returns the exit code
 
 private:
@@ -29,17 +26,11 @@
     void start();
     void drain();
     void advance();
-    void apply(const settings::BusEvent& event);
+    std::size_t openRequests() const;
     void printCounters() const;
 
-    settings::Configuration configuration_;
     net::Loop loop_;
-    core::Micros unixAhead_;
-    platform::Stores stores_;
-    core::Decisions decisions_;
-    core::Requests requests_;
-    platform::Front front_;
-    std::unique_ptr<platform::BusReader> bus_;
+    std::vector<std::unique_ptr<core::Service>> services_;
     net::Descriptor signals_;
     net::Loop::HandlerId signalsId_ = 0;
     Phase phase_ = Phase::starting;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,18 +5,43 @@
 #include <sstream>
 
 #include "gateway/gateway.hpp"
+#include "platform/service.hpp"
+#include "repository/service.hpp"
 
-// Exit codes: 0 stopped as told, 1 could not go on, 2 bad configuration.
+namespace {
+
+using namespace lotuslead;
+
+std::string contentsOf(const char* variable, const char* path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        throw settings::Malformed(std::string(variable) + ": cannot read '" + path + "'");
+    return text.str();
+}
+
+const char* variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value != nullptr && *value != '\0' ? value : nullptr;
+}
+
+}  // namespace
+
+// LB_CONFIG names the platform's configuration, LB_REPOSITORY that of the repository front; a front whose
+// variable is not set is off. Exit codes: 0 stopped as told, 1 could not go on, 2 bad configuration.
 int main() {
-    using namespace lotuslead;
     try {
-        const char* path = std::getenv("LB_CONFIG");
-        if (path == nullptr || *path == '\0') throw settings::Malformed("variable LB_CONFIG is not set");
-        std::ifstream file(path);
-        if (!file) throw settings::Malformed("LB_CONFIG: cannot open '" + std::string(path) + "'");
-        std::ostringstream text;
-        text << file.rdbuf();
-        gateway::Gateway gateway(settings::readConfiguration(text.str()));
+        const char* platformFile = variable("LB_CONFIG");
+        const char* repositoryFile = variable("LB_REPOSITORY");
+        if (!platformFile && !repositoryFile) throw settings::Malformed("variable LB_CONFIG is not set");
+        gateway::Gateway gateway;
+        if (platformFile)
+            gateway.add(std::make_unique<platform::Service>(
+                gateway.loop(), settings::readConfiguration(contentsOf("LB_CONFIG", platformFile))));
+        if (repositoryFile)
+            gateway.add(std::make_unique<repository::Service>(
+                gateway.loop(),
+                settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile))));
         return gateway.run();
     } catch (const settings::Malformed& problem) {
         std::fprintf(stderr, "lotuslead: bad configuration: %s\n", problem.what());
--- /dev/null
+++ b/src/repository/front.hpp
@@ -0,0 +1,54 @@
+// The front for package repositories: indexes and files over HTTP/1.1.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "../core/requests.hpp"
+#include "../net/http.hpp"
+#include "../net/loop.hpp"
+#include "../net/stream.hpp"
+
+namespace lotuslead::repository {
+
+class Front {
+public:
+    struct Counters {
+        std::uint64_t connections = 0, turnedAway = 0, indexes = 0, files = 0, badRequests = 0, notFound = 0,
+                      refused = 0, upstreamFailed = 0, late = 0, brokenOff = 0;
+    };
+
+    Front(net::Loop& loop, core::Requests& requests, const settings::RepositoryConfiguration& configuration);
+    ~Front();
+
+    void open();
+    void stopListening() { listener_.reset(); }
+    void leave() { leaving_ = true; }  // connections are not kept any more
+    bool idle() const;
+    std::uint16_t port() const { return listener_->port(); }
+    const Counters& counters() const { return counters_; }
+
+private:
+    class Client;
+
+    void accept(net::Descriptor fd);
+    bool roomFor(std::size_t bytes) const;
+    void forget(Client* client);
+
+    net::Loop& loop_;
+    core::Requests& requests_;
+    const settings::RepositoryConfiguration& configuration_;
+    std::size_t mostClients_;
+    std::size_t mostBytes_;
+    std::size_t unsent_ = 0;    // bytes of answers that clients have not yet read
+    std::size_t expected_ = 0;  // bytes that the requests in hand may yet bring
+    bool leaving_ = false;
+    RequestId nextId_ = 1;
+    std::unique_ptr<net::Listener> listener_;
+    std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
+    Counters counters_;
+};
+
+}  // namespace lotuslead::repository
--- /dev/null
+++ b/src/repository/upstreams.cpp
@@ -0,0 +1,344 @@
+#include "upstreams.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace lotuslead::repository {
+
+using core::AttemptEnd;
+using core::Micros;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Micros kConnectTimeout = 400ms;
+constexpr Micros kIdleClose = 15s;
+constexpr std::size_t kMostLinks = 16;  // to one server
+// Age counts whole seconds, so a limit below this cannot be told by it: the copy is then validated anew.
+constexpr Micros kFinestAge = 2s;
+
+std::optional<std::uint64_t> wholeOf(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || read.ec != std::errc{} || read.ptr != text.data() + text.size()) return {};
+    return value;
+}
+
+// "bytes 0-99/1234", or "bytes */1234" with a 416 (RFC 9110, 14.4).
+struct ContentRange {
+    std::optional<std::uint64_t> first, last, total;
+};
+ContentRange contentRangeOf(const std::string* field) {
+    ContentRange result;
+    if (!field || field->rfind("bytes ", 0) != 0) return result;
+    const std::string_view text = std::string_view(*field).substr(6);
+    const std::size_t slash = text.find('/');
+    if (slash == std::string_view::npos) return result;
+    result.total = wholeOf(text.substr(slash + 1));
+    const std::string_view span = text.substr(0, slash);
+    const std::size_t dash = span.find('-');
+    if (dash == std::string_view::npos) return result;
+    result.first = wholeOf(span.substr(0, dash));
+    result.last = wholeOf(span.substr(dash + 1));
+    return result;
+}
+
+std::int64_t secondsOf(Micros t) { return std::chrono::duration_cast<std::chrono::seconds>(t).count(); }
+
+}  // namespace
+
+class Upstreams::Link : public net::Stream::User, public std::enable_shared_from_this<Link> {
+public:
+    Link(Upstreams& owner, std::string host, const settings::Endpoint& to)
+        : owner_(owner),
+          host_(std::move(host)),
+          parser_(net::HttpParser::Kind::response,
+                  {16 * 1024, std::max(owner.configuration_.largestIndex, owner.configuration_.partBytes)}),
+          stream_(owner_.loop_, to, *this) {
+        ++owner_.counters_.connects;
+        arm(owner_.connectTimeout_, Outcome::noConnection);
+    }
+    ~Link() override { stopTimer(); }
+
+    bool connecting() const { return !ended_ && !stream_.opened(); }
+    bool ready() const { return !ended_ && stream_.opened() && !work_; }
+    bool has(RequestId request) const { return work_ && work_->send.request == request; }
+
+    void take(const Waiting& work) {
+        stopTimer();
+        work_ = work;
+        stream_.write(owner_.wordsFor(*work.request, work.send));
+    }
+
+    void fail(Outcome outcome) {
+        if (std::exchange(ended_, true)) return;
+        stopTimer();
+        stream_.close();
+        const auto self = shared_from_this();
+        if (work_) owner_.tell(*work_, outcome);
+        work_.reset();
+        owner_.loop_.retire(self);
+        owner_.drop(host_, this);
+    }
+    // HTTP/1.1 has no other way to give a request up.
+    void giveUp() {
+        work_.reset();
+        fail(Outcome::cancelled);
+    }
+
+private:
+    void streamOpened() override {
+        rest();
+        owner_.serveWaiting(host_);
+    }
+    bool streamData(std::string_view data) override {
+        while (!data.empty()) {
+            if (!work_) return false;  // an answer to nothing
+            const auto status = parser_.feed(data);
+            if (status == net::HttpParser::Status::needMore) return true;
+            if (status != net::HttpParser::Status::message) return false;
+            if (parser_.head().status < 200) continue;  // interim: the final one follows
+            answered(parser_.head().keepAlive());
+            if (ended_) return true;
+        }
+        return true;
+    }
+    void streamEnded(net::Stream::End why) override {
+        using End = net::Stream::End;
+        if (why == End::closedByPeer && work_ && parser_.endOfStream()) return answered(false);
+        if (why == End::refused) ++owner_.counters_.connectFailures;
+        if (why == End::reset) ++owner_.counters_.resets;
+        if (why == End::malformed) {
+            ++owner_.counters_.malformed;
+            std::fprintf(stderr, "repository server %s: malformed answer, connection closed\n",
+                         host_.c_str());
+        }
+        fail(why == End::refused ? Outcome::noConnection : Outcome::broken);
+    }
+
+    void answered(bool keep) {
+        const Waiting work = *work_;
+        work_.reset();
+        owner_.tell(outcomeOf(work));
+        if (!keep) return fail(Outcome::broken);
+        rest();
+        const auto self = shared_from_this();
+        owner_.loop_.post([self] { self->owner_.serveWaiting(self->host_); });
+    }
+
+    AttemptEnd outcomeOf(const Waiting& work) {
+        const net::HttpHead& head = parser_.head();
+        AttemptEnd end;
+        end.request = work.send.request;
+        end.attempt = work.send.attempt;
+        end.outcome = Outcome::served;
+        auto& facts = end.payload.facts;
+        for (const char* name : {"etag", "last-modified", "content-type"})
+            if (const std::string* value = head.field(name)) facts.emplace_back(name, *value);
+        int status = head.status;
+        const ContentRange range = contentRangeOf(head.field("content-range"));
+        if (status == 200) {
+            facts.emplace_back(kTotal, std::to_string(parser_.body().size()));
+            facts.emplace_back(kFirst, "0");
+        } else if (status == 206) {
+            const bool fits = range.first && range.last && range.total && *range.last >= *range.first &&
+                              *range.last - *range.first + 1 == parser_.body().size();
+            if (!fits) end.outcome = Outcome::error;
+            facts.emplace_back(kTotal, std::to_string(range.total.value_or(0)));
+            facts.emplace_back(kFirst, std::to_string(range.first.value_or(0)));
+        } else if (status == 304) {
+            end.payload.unchanged = true;
+        } else if (status == 416 && range.total) {
+            facts.emplace_back(kTotal, std::to_string(*range.total));
+        } else if (status == 410 || status == 404) {
+            status = 404;
+        } else if (status == 504) {  // also the answer to only-if-cached (RFC 9111, 5.2.1.7)
+            const bool held = work.send.source.empty() || work.send.heldOnly;
+            end.outcome = held ? Outcome::noCopy : Outcome::error;
+        } else if (status == 503 || status == 429) {
+            end.outcome = Outcome::notTaken;
+        } else {
+            end.outcome = Outcome::error;
+        }
+        // A server that ignores the limit on age must not get an older copy past a purge.
+        const std::string* field = head.field("age");
+        const auto age = field ? static_cast<std::int64_t>(wholeOf(*field).value_or(0)) : 0;
+        if (end.outcome == Outcome::served && field && work.send.oldest >= kFinestAge &&
+            age + 1 > secondsOf(work.send.oldest)) {
+            ++owner_.counters_.tooOld;
+            end.outcome = Outcome::noCopy;
+        }
+        end.note = age > 0 ? Note::hit : Note::none;
+        facts.emplace_back(kStatus, std::to_string(status));
+        if (end.outcome == Outcome::served && (status == 200 || status == 206))
+            end.payload.body = std::move(parser_.body());
+        return end;
+    }
+
+    void rest() { arm(owner_.idleClose_, Outcome::broken); }
+    void arm(Micros delay, Outcome outcome) {
+        stopTimer();
+        timer_ = owner_.loop_.after(delay, [this, outcome] {
+            timer_.reset();
+            fail(outcome);
+        });
+    }
+    void stopTimer() {
+        if (timer_) owner_.loop_.cancel(*timer_);
+        timer_.reset();
+    }
+
+    Upstreams& owner_;
+    std::string host_;
+    net::HttpParser parser_;
+    std::optional<Waiting> work_;
+    std::optional<net::Loop::TimerKey> timer_;
+    bool ended_ = false;
+    net::Stream stream_;
+};
+
+Upstreams::Upstreams(net::Loop& loop, const settings::RepositoryConfiguration& configuration)
+    : loop_(loop), configuration_(configuration) {
+    const settings::Vocabulary& words = configuration.base.words;
+    const auto given = [](Time t, Micros otherwise) {
+        return t.count() > 0 ? std::chrono::duration_cast<Micros>(t) : otherwise;
+    };
+    connectTimeout_ = given(words.connectTimeout, kConnectTimeout);
+    idleClose_ = given(words.idleClose * 9 / 10, kIdleClose);
+}
+
+Upstreams::~Upstreams() = default;
+
+void Upstreams::list(const settings::BusEvent& event) {
+    for (auto& [name, server] : servers_) {
+        const bool named = std::any_of(event.stores.begin(), event.stores.end(),
+                                       [&, &key = name](const auto& s) { return s.name == key; });
+        if (event.whole && !named) dropAll(server);
+    }
+    for (const settings::ListedStore& listed : event.stores) {
+        Server& server = servers_[listed.name];
+        const bool restarted = listed.sinceMs > server.sinceMs && !server.address.empty();
+        const bool moved = !listed.address.empty() && listed.address != server.address;
+        if (restarted || moved || listed.readiness == Readiness::gone) dropAll(server);
+        try {
+            if (!listed.address.empty()) settings::readEndpoint(listed.address, "address");
+            if (!listed.address.empty()) server.address = listed.address;
+        } catch (const settings::Malformed& problem) {
+            std::fprintf(stderr, "repository server %s: %s\n", listed.name.c_str(), problem.what());
+        }
+        server.sinceMs = listed.sinceMs;
+        server.origin = configuration_.base.words.roleOf(listed.shape) == Role::origin;
+    }
+}
+
+void Upstreams::dropAll(Server& server) {
+    for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::notSent);
+    const auto links = server.links;
+    for (const auto& link : links) link->fail(Outcome::broken);
+}
+
+void Upstreams::drop(const std::string& host, Link* link) {
+    Server& server = servers_[host];
+    std::erase_if(server.links, [&](const auto& held) { return held.get() == link; });
+    // Those that were waiting for this connection to come up have lost it.
+    if (server.links.empty())
+        for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::noConnection);
+}
+
+void Upstreams::send(Micros, const core::Request& request, const core::Verdict& send) {
+    out_[request.id] = send.attempt;
+    servers_[send.host].waiting.push_back({&request, send});
+    serveWaiting(send.host);
+}
+
+// An attempt is looked at again when a connection is free for it: a server may be draining by then.
+void Upstreams::serveWaiting(const std::string& host) {
+    Server& server = servers_[host];
+    if (server.address.empty())
+        for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::noConnection);
+    while (!server.waiting.empty()) {
+        const Waiting next = server.waiting.front();
+        if (loop_.now() > next.send.pickedAt && !callbacks_.holds(next.send.request, next.send.attempt)) {
+            server.waiting.pop_front();
+            ++counters_.heldBack;
+            tell(next, Outcome::notSent);
+            continue;
+        }
+        const auto free = std::find_if(server.links.begin(), server.links.end(),
+                                       [](const auto& link) { return link->ready(); });
+        if (free == server.links.end()) break;
+        server.waiting.pop_front();
+        (*free)->take(next);
+    }
+    auto coming = static_cast<std::size_t>(std::count_if(
+        server.links.begin(), server.links.end(), [](const auto& link) { return link->connecting(); }));
+    for (; coming < server.waiting.size() && server.links.size() < kMostLinks; ++coming)
+        server.links.push_back(
+            std::make_shared<Link>(*this, host, settings::readEndpoint(server.address, "address")));
+}
+
+bool Upstreams::cancel(Micros, RequestId request, int attempt) {
+    const auto found = out_.find(request);
+    if (found == out_.end() || found->second != attempt) return false;
+    out_.erase(found);
+    for (auto& [name, server] : servers_) {
+        const auto queued = std::find_if(server.waiting.begin(), server.waiting.end(),
+                                         [&](const Waiting& w) { return w.send.request == request; });
+        if (queued != server.waiting.end()) {
+            server.waiting.erase(queued);
+            return true;
+        }
+        const auto held = std::find_if(server.links.begin(), server.links.end(),
+                                       [&](const auto& link) { return link->has(request); });
+        if (held == server.links.end()) continue;
+        const std::shared_ptr<Link> link = *held;
+        link->giveUp();
+        return false;
+    }
+    return false;
+}
+
+std::string Upstreams::wordsFor(const core::Request& request, const core::Verdict& send) {
+    const Server& server = servers_[send.host];
+    std::string words = "GET " + request.object + " HTTP/1.1\r\nHost: " + server.address + "\r\n";
+    if (configuration_.base.words.settings.classes[static_cast<std::size_t>(request.classIndex)].inParts) {
+        const auto first = static_cast<std::uint64_t>(request.part) * configuration_.partBytes;
+        words += "Range: bytes=" + std::to_string(first) + "-" +
+                 std::to_string(first + configuration_.partBytes - 1) + "\r\n";
+    }
+    if (!request.known.empty()) words += "If-None-Match: " + request.known + "\r\n";
+    std::string control;
+    const auto add = [&](const std::string& word) { control += (control.empty() ? "" : ", ") + word; };
+    if (send.oldest.count() > 0)
+        add(send.oldest < kFinestAge ? "no-cache" : "max-age=" + std::to_string(secondsOf(send.oldest) - 1));
+    if (!server.origin) {
+        if (send.source.empty() || send.heldOnly) add("only-if-cached");
+        if (send.keepRank == 0) add("no-store");
+        // A cache that knows this field fills a miss from there; others go by their own set-up.
+        if (!send.source.empty()) words += "Lotuslead-Source: " + servers_[send.source].address + "\r\n";
+    }
+    if (!control.empty()) words += "Cache-Control: " + control + "\r\n";
+    return words + "\r\n";
+}
+
+void Upstreams::tell(const Waiting& waiting, Outcome outcome) {
+    AttemptEnd end;
+    end.request = waiting.send.request;
+    end.attempt = waiting.send.attempt;
+    end.outcome = outcome;
+    tell(std::move(end));
+}
+
+void Upstreams::tell(AttemptEnd end) {
+    // Later in the turn: the caller may be in the middle of the very request that this is about.
+    auto shared = std::make_shared<AttemptEnd>(std::move(end));
+    loop_.post([this, shared] {
+        const auto found = out_.find(shared->request);
+        if (found == out_.end() || found->second != shared->attempt) return;
+        out_.erase(found);
+        callbacks_.ended(std::move(*shared));
+    });
+}
+
+}  // namespace lotuslead::repository
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -305,6 +305,34 @@
     return result;
 }
 
+RepositoryConfiguration readRepositoryConfiguration(const std::string& text) {
+    RepositoryConfiguration result;
+    result.base = readConfiguration(text);
+    const json root = json::parse(text);
+    for (const json& item : listOrEmpty(root, "routes")) {
+        Route route;
+        route.prefix = needText(item, "prefix");
+        route.className = needText(item, "class");
+        route.group = wholeOr(item, "group", 0);
+        const auto known = result.base.words.classes.find(route.className);
+        if (known == result.base.words.classes.end())
+            throw Malformed("field 'routes.class' names no class: '" + route.className + "'");
+        if (route.prefix.front() != '/') throw Malformed("field 'routes.prefix' does not begin with '/'");
+        route.classIndex = known->second;
+        result.routes.push_back(std::move(route));
+    }
+    if (result.routes.empty()) throw Malformed("field 'routes' is empty");
+    const auto size = [&](const char* key, std::size_t fallback) {
+        const std::int64_t bytes = wholeOr(root, key, static_cast<std::int64_t>(fallback));
+        if (bytes < 1024 || bytes > 16 * 1024 * 1024)
+            throw Malformed("field '" + std::string(key) + "' is not within 1024 and 16777216");
+        return static_cast<std::size_t>(bytes);
+    };
+    result.partBytes = size("part_bytes", result.partBytes);
+    result.largestIndex = size("largest_index_bytes", result.largestIndex);
+    return result;
+}
+
 BusBatch readBatch(const json& batch) {
     BusBatch result;
     result.offset = wholeOr(batch, "offset", 0);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -58,6 +58,21 @@
 
 Configuration readConfiguration(const std::string& text);
 
+// What the repository front serves: its configuration has the same form, and these besides.
+struct Route {
+    std::string prefix;
+    int classIndex = 0;
+    std::string className;
+    std::int64_t group = 0;
+};
+struct RepositoryConfiguration {
+    Configuration base;
+    std::vector<Route> routes;
+    std::size_t partBytes = 256 * 1024;          // files are fetched in parts of this size
+    std::size_t largestIndex = 4 * 1024 * 1024;  // indexes are fetched whole
+};
+RepositoryConfiguration readRepositoryConfiguration(const std::string& text);
+
 // One event of the event bus: a change of the list, or a purge.
 struct ListedStore {
     std::string name, address, zone, shape;
--- /dev/null
+++ b/tests/loopback.hpp
@@ -0,0 +1,358 @@
+// For stories over loopback sockets: the real program as a child, scripted peers, and plain blocking
+// connections. Every wait ends by an event; the time limits only end a story that has failed.
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cassert>
+#include <condition_variable>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lotuslead::testing {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr int kPatience = 20;  // seconds
+
+class Connection {
+public:
+    explicit Connection(int fd) : fd_(fd) {
+        const timeval limit{kPatience, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    explicit Connection(std::uint16_t port) : Connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(port);
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool up = ::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
+        assert(up);
+    }
+    ~Connection() { ::close(fd_); }
+    Connection(const Connection&) = delete;
+
+    void send(const std::string& bytes) { ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+    void sendResp(const std::vector<std::string>& words) {
+        std::string text = "*" + std::to_string(words.size()) + "\r\n";
+        for (const auto& word : words) text += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+        send(text);
+    }
+    void reset() {
+        const linger now{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+    void shut() { ::shutdown(fd_, SHUT_RDWR); }
+
+    // An empty answer: the peer has closed.
+    std::vector<std::string> readResp() {
+        const std::string head = line();
+        std::vector<std::string> words;
+        if (head.empty()) return words;
+        assert(head[0] == '*');
+        for (int i = std::atoi(head.c_str() + 1); i > 0; --i) {
+            const std::string size = line();
+            if (size.empty()) return {};
+            words.push_back(exactly(std::strtoul(size.c_str() + 1, nullptr, 10)));
+            line();
+        }
+        return words;
+    }
+    // The head of an HTTP message, with its blank line; empty: closed.
+    std::string readHead() {
+        std::string head;
+        for (std::string next; !(next = line()).empty();) {
+            head += next + "\n";
+            if (next == "\r") return head;
+        }
+        return {};
+    }
+    std::string exactly(std::size_t size) {
+        while (buffer_.size() < size && more()) {
+        }
+        const std::string taken = buffer_.substr(0, size);
+        buffer_.erase(0, taken.size());
+        return taken;
+    }
+    bool closed() { return buffer_.empty() && !more(); }
+
+private:
+    std::string line() {
+        std::size_t end;
+        while ((end = buffer_.find('\n')) == std::string::npos)
+            if (!more()) return {};
+        const std::string taken = buffer_.substr(0, end);
+        buffer_.erase(0, end + 1);
+        return taken;
+    }
+    bool more() {
+        char chunk[65536];
+        const ssize_t got = ::recv(fd_, chunk, sizeof chunk, 0);
+        if (got > 0) buffer_.append(chunk, static_cast<std::size_t>(got));
+        return got > 0;
+    }
+
+    int fd_;
+    std::string buffer_;
+};
+
+// Listens on a port of the system's choice; each connection is served by the script in a thread of its own.
+class Peer {
+public:
+    using Script = std::function<void(Connection&)>;
+    explicit Peer(Script script, int backlog = 64) : script_(std::move(script)) {
+        fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof at;
+        const bool up = ::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
+                        ::listen(fd_, backlog) == 0 &&
+                        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+        assert(up);
+        port_ = ntohs(at.sin_port);
+        if (script_) start();
+    }
+    ~Peer() {
+        ::shutdown(fd_, SHUT_RDWR);
+        if (acceptor_.joinable()) acceptor_.join();
+        for (const auto& connection : connections_) connection->shut();
+        for (auto& thread : threads_) thread.join();
+        ::close(fd_);
+    }
+    void start(Script script) {
+        script_ = std::move(script);
+        start();
+    }
+    std::uint16_t port() const { return port_; }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+private:
+    void start() {
+        acceptor_ = std::thread([this] {
+            for (int fd; (fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
+                connections_.push_back(std::make_unique<Connection>(fd));
+                threads_.emplace_back([this, c = connections_.back().get()] { script_(*c); });
+            }
+        });
+    }
+
+    Script script_;
+    int fd_ = -1;
+    std::uint16_t port_ = 0;
+    std::thread acceptor_;
+    std::vector<std::unique_ptr<Connection>> connections_;
+    std::vector<std::thread> threads_;
+};
+
+// A counter that threads raise and the story waits for.
+class Mark {
+public:
+    void raise() {
+        const std::lock_guard lock(mutex_);
+        ++count_;
+        changed_.notify_all();
+    }
+    void await(int count) {
+        std::unique_lock lock(mutex_);
+        const bool came =
+            changed_.wait_for(lock, std::chrono::seconds(kPatience), [&] { return count_ >= count; });
+        assert(came);
+    }
+    int count() {
+        const std::lock_guard lock(mutex_);
+        return count_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    int count_ = 0;
+};
+
+// The event bus. `told(n)` returns once the gateway has asked again, and so has applied event n.
+class Bus {
+public:
+    Bus() : peer_([this](Connection& c) { serve(c); }) {}
+    ~Bus() {
+        const std::lock_guard lock(mutex_);
+        over_ = true;
+        changed_.notify_all();
+    }
+    std::string address() const { return peer_.address(); }
+    void tell(json event) {
+        std::unique_lock lock(mutex_);
+        event["offset"] = ++last_;
+        events_.push_back(std::move(event));
+        changed_.notify_all();
+        const bool came =
+            changed_.wait_for(lock, std::chrono::seconds(kPatience), [&] { return asked_ >= last_; });
+        assert(came);
+    }
+
+private:
+    void serve(Connection& c) {
+        for (std::string head; !(head = c.readHead()).empty();) {
+            const int from = std::atoi(head.c_str() + head.find("from=") + 5);
+            std::unique_lock lock(mutex_);
+            asked_ = std::max(asked_, from);
+            changed_.notify_all();
+            changed_.wait_for(lock, 1s, [&] { return last_ > from || over_; });
+            json batch = json::array();
+            for (const json& event : events_)
+                if (event["offset"] > from) batch.push_back(event);
+            const std::string body = json{{"offset", last_}, {"batch", batch}}.dump();
+            c.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            if (over_) return;
+        }
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<json> events_;
+    int last_ = 1;  // the first event is the list under `known`
+    int asked_ = 0;
+    bool over_ = false;
+    Peer peer_;
+};
+
+inline json host(const std::string& name, const std::string& address, const std::string& type = "small",
+                 const std::string& status = "up") {
+    return {{"name", name}, {"address", address}, {"zone", type == "small" ? "edge" : "hub"},
+            {"type", type}, {"group", 0},         {"status", status},
+            {"weight", 1},  {"since_ms", 0}};
+}
+inline json topology(std::vector<json> hosts, bool whole = false) {
+    return {{"topology", {{"index", 1}, {"snapshot", whole}, {"endpoints", hosts}}}};
+}
+
+inline json configuration(const std::vector<json>& hosts) {
+    const auto ms = [](long long n) { return n * 1'000'000; };
+    const auto category = [&](const char* name, const char* effect, long long aim, long long limit) {
+        return json{{"name", name},           {"effect", effect}, {"group", "all"},    {"aim", ms(aim)},
+                    {"hardLimit", ms(limit)}, {"value", 1},       {"window", ms(3000)}};
+    };
+    json first = topology(hosts, true);
+    first["offset"] = 1;
+    return {{"name", "t1"},
+            {"listen", "127.0.0.1:0"},
+            {"seed", "5c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+            {"known", {{"offset", 1}, {"batch", {first}}}},
+            {"settings",
+             {{"zone", "edge"},
+              {"zones", {"hub", "edge"}},
+              {"shapes", {"small", "parent", "origin"}},
+              {"balancers", 1},
+              {"categories",
+               {category("installer", "free", 4000, 9000), category("page", "free", 3000, 9000),
+                category("checkout", "guarded", 7000, 9000)}},
+              {"allowed",
+               {{"mostTries", 8},
+                {"mayCancel", true},
+                {"retryAfter", true},
+                {"maxRetryAfter", ms(1000)},
+                {"connectTimeout", ms(5000)},
+                {"keepalive", ms(30000)},
+                {"streamsPerConn", 100}}},
+              {"obligations", {{"stopSendingWithin", ms(1000)}, {"graceToAnswer", ms(8)}}},
+              {"extra",
+               {{"flowKbPerS", 3700.0},
+                {"parentKind", 1},
+                {"originKind", 2},
+                {"siblings", "any"},
+                {"noteLevel", "all"},
+                {"inParts", {true, false, false}},
+                {"neverKept", {false, false, true}},
+                {"obeyAfter", ms(500)},
+                {"purgeSettles", ms(6000)}}}}}};
+}
+
+// The program itself, with its log.
+class Program {
+public:
+    explicit Program(const std::string& configuration, const char* variable = "LB_CONFIG") {
+        char folder[] = "/tmp/lotuslead-test-XXXXXX";
+        folder_ = ::mkdtemp(folder);
+        std::ofstream(folder_ + "/config.json") << configuration;
+        pid_ = ::fork();
+        if (pid_ == 0) {
+            ::setenv(variable, (folder_ + "/config.json").c_str(), 1);
+            if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(126);
+            ::execl(LOTUSLEAD_PROGRAM, LOTUSLEAD_PROGRAM, nullptr);
+            ::_exit(127);
+        }
+    }
+    explicit Program(const json& configuration, const char* variable = "LB_CONFIG")
+        : Program(configuration.dump(), variable) {}
+    ~Program() {
+        if (pid_ > 0) {
+            ::kill(pid_, SIGKILL);
+            ::waitpid(pid_, nullptr, 0);
+        }
+        std::remove((folder_ + "/config.json").c_str());
+        std::remove((folder_ + "/log").c_str());
+        ::rmdir(folder_.c_str());
+    }
+    std::uint16_t port() {
+        for (int i = 0; i < kPatience * 100; ++i) {
+            const std::string text = log();
+            const std::size_t at = text.find(" on 127.0.0.1:");
+            if (at != std::string::npos && text.find('\n', at) != std::string::npos)
+                return static_cast<std::uint16_t>(std::atoi(text.c_str() + at + 14));
+            std::this_thread::sleep_for(10ms);
+        }
+        std::fprintf(stderr, "%s\n", log().c_str());
+        std::abort();
+    }
+    void signal(int number) { ::kill(pid_, number); }
+    int exitCode() {
+        int status = 0;
+        ::waitpid(pid_, &status, 0);
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+    }
+    std::string log() const {
+        std::ifstream file(folder_ + "/log");
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+private:
+    std::string folder_;
+    pid_t pid_ = -1;
+};
+
+inline std::string valueOf(const std::string& fields, const std::string& name) {
+    std::istringstream all(fields);
+    for (std::string one; std::getline(all, one, ',');)
+        if (one.rfind(name + "=", 0) == 0) return one.substr(name.size() + 1);
+    return {};
+}
+
+inline std::string fieldOf(const std::string& head, const std::string& name) {
+    std::istringstream lines(head);
+    for (std::string line; std::getline(lines, line);)
+        if (line.rfind(name + ": ", 0) == 0)
+            return line.substr(name.size() + 2, line.size() - name.size() - 3);
+    return {};
+}
+
+}  // namespace lotuslead::testing
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,196 @@
+// The platform's front, as clients, stores and the event bus see it.
+#include "loopback.hpp"
+
+namespace {
+
+using namespace lotuslead::testing;
+
+const std::string kEntity = "7f3a9c21e0b4d655";
+
+void call(Connection& client, const std::string& tag, const std::string& more = "",
+          const std::string& kind = "page", const std::string& body = "") {
+    static int count = 0;
+    char trace[17];
+    std::snprintf(trace, sizeof trace, "%016x", ++count);
+    client.sendResp(
+        {"CALL", tag, kind,
+         "trace=" + std::string(trace) + ",patience=8000,entity=" + kEntity + ",block=0,family=3" + more,
+         body});
+}
+
+// Answers every PULL by the given function; what is not a PULL is passed over.
+using Answer = std::function<void(Connection&, const std::vector<std::string>&)>;
+Peer::Script store(Answer answer) {
+    return [answer](Connection& c) {
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();)
+            if (words[0] == "PULL") answer(c, words);
+    };
+}
+Answer serving(const std::string& body) {
+    return [body](Connection& c, const std::vector<std::string>& w) {
+        c.sendResp({w[1], "ok", "tag=4be0c1927d55a6f3,minted=1764576000000,remark=local", body});
+    };
+}
+
+struct Fleet {
+    Peer parent{store(serving("p"))}, origin{store(serving("o"))};
+    std::vector<json> with(std::vector<json> caches) const {
+        caches.push_back(host("parent-1", parent.address(), "parent"));
+        caches.push_back(host("origin-1", origin.address(), "origin"));
+        return caches;
+    }
+};
+
+void aRequestPassesThroughWholeAndUnchanged() {
+    Fleet fleet;
+    const std::string bytes = std::string(200'000, 'x') + std::string("\r\n\0$", 4);
+    std::vector<std::string> pulled;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled = words;
+        if (valueOf(words[2], "known").empty()) return serving(bytes)(c, words);
+        c.sendResp({words[1], "current", "tag=4be0c1927d55a6f3,minted=1764576000000,remark=local", ""});
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    client.sendResp({"CHECK", "1", ""});
+    assert((client.readResp() == std::vector<std::string>{"1", "PASS", "-", ""}));
+
+    call(client, "7", ",nonce=5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "checkout", std::string("seat\0two", 8));
+    assert((client.readResp() == std::vector<std::string>{"7", "SERVED", "-", bytes}));
+    assert(pulled.size() == 4 && pulled[0] == "PULL" && pulled[1].size() == 16);
+    assert(valueOf(pulled[2], "profile") == "checkout" && valueOf(pulled[2], "thing") == kEntity);
+    assert(valueOf(pulled[2], "nth") == "0" && valueOf(pulled[2], "via") == "parent-1");
+    assert(valueOf(pulled[2], "replay") == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+    assert(pulled[3] == std::string("seat\0two", 8));
+
+    call(client, "8", ",cached=4be0c1927d55a6f3");
+    assert((client.readResp() == std::vector<std::string>{"8", "SERVED", "keep=1", ""}));
+    assert(valueOf(pulled[2], "known") == "4be0c1927d55a6f3");
+
+    // A peer that breaks the form loses its connection; the others go on.
+    Connection stray(program.port());
+    stray.send("GET / HTTP/1.1\r\n\r\n");
+    assert(stray.closed());
+    call(client, "9");
+    assert(client.readResp()[1] == "SERVED");
+    client.sendResp({"CALL", "10", "nothing-we-know", "trace=xyz", ""});
+    assert((client.readResp() == std::vector<std::string>{"10", "ERR", "-", ""}));
+}
+
+void aSilentStoreIsGivenUpAndItsLateAnswerDropped() {
+    Fleet fleet;
+    Mark silent, killed;
+    const auto one = [&](Connection& c) {
+        std::string id;
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+            if (words[0] == "PULL" && silent.count() == 0) {
+                silent.raise();
+                id = words[1];
+            } else if (words[0] == "PULL") {
+                assert(killed.count() == 1 || id.empty());  // never two out at a time
+                c.sendResp({words[1], "ok", "minted=1", "second"});
+            } else if (words[0] == "KILL" && words[1] == id) {
+                killed.raise();
+                c.sendResp({id, "ok", "minted=1", "late"});
+            }
+        }
+    };
+    Peer first(one), second(one);
+    Program program(
+        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())})));
+    Connection client(program.port());
+    call(client, "1");
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "second"}));
+    killed.await(1);
+    // After CANCEL no answer is owed, and none comes: the next one read is that of the next request.
+    call(client, "2");
+    client.sendResp({"CANCEL", "2"});
+    client.sendResp({"CHECK", "3", ""});
+    for (std::vector<std::string> words; (words = client.readResp())[0] != "3";) assert(words[0] == "2");
+    client.sendResp({"CHECK", "4", ""});
+    assert(client.readResp()[0] == "4");
+}
+
+void aDrainTakesBackWhatWaitsForItsConnection() {
+    Fleet fleet;
+    Mark pulls;
+    Peer full(nullptr, 0);  // takes one connection, and no more until it is started
+    Connection filler(full.port());
+    Bus bus;
+    json settings = configuration(fleet.with({host("cache-1", full.address())}));
+    settings["bus"] = bus.address();
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1");
+    client.sendResp({"CHECK", "2", ""});
+    assert(client.readResp()[0] == "2");  // so the call has been taken, and waits for its connection
+    bus.tell(topology({host("cache-1", full.address(), "small", "draining")}));
+    full.start(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulls.raise();
+        serving("drained")(c, words);
+    }));
+    const auto answer = client.readResp();
+    assert(answer[0] == "1" && answer[1] == "SHED" && valueOf(answer[2], "pause") == "100");
+    assert(pulls.count() == 0);
+}
+
+void aResetIsAnsweredFromElsewhereOrRefusedAtOnce() {
+    Fleet fleet;
+    Peer cache([](Connection& c) {
+        c.readResp();
+        c.reset();
+        c.shut();
+    });
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    const auto begin = std::chrono::steady_clock::now();
+    call(client, "1");
+    const auto answer = client.readResp();
+    assert(answer[1] == "SHED" && !valueOf(answer[2], "pause").empty());
+    assert(std::chrono::steady_clock::now() - begin < 4s);  // not held towards its 8 s
+}
+
+void sigtermAnswersWhatWasTakenAndStillComes() {
+    Fleet fleet;
+    Mark pulled, go;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        go.await(1);
+        serving("in time")(c, words);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    call(client, "1");
+    pulled.await(1);
+    program.signal(SIGTERM);
+    while (program.log().find("draining, 1 requests open") == std::string::npos)
+        std::this_thread::sleep_for(5ms);
+    Connection late(program.port());
+    late.sendResp({"CHECK", "1", ""});
+    assert(late.readResp()[1] == "LEAVING");
+    go.raise();
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "in time"}));
+    assert(program.exitCode() == 0);
+    assert(program.log().find("t1: requests taken=1 served=1") != std::string::npos);
+}
+
+void badConfigurationIsOneLineAndExitTwo() {
+    json settings = configuration({});
+    settings["listen"] = "nowhere";
+    Program wrong(settings);
+    assert(wrong.exitCode() == 2);
+    assert(wrong.log() == "lotuslead: bad configuration: field 'listen' is not address:port: 'nowhere'\n");
+    Program broken(std::string("{"));
+    assert(broken.exitCode() == 2);
+}
+
+}  // namespace
+
+int main() {
+    aRequestPassesThroughWholeAndUnchanged();
+    aSilentStoreIsGivenUpAndItsLateAnswerDropped();
+    aDrainTakesBackWhatWaitsForItsConnection();
+    aResetIsAnsweredFromElsewhereOrRefusedAtOnce();
+    sigtermAnswersWhatWasTakenAndStillComes();
+    badConfigurationIsOneLineAndExitTwo();
+}
--- /dev/null
+++ b/tests/repository_test.cpp
@@ -0,0 +1,1 @@
+int main() {}
