--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -293,6 +294,7 @@
         std::ofstream(folder_ + "/config.json") << configuration;
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also when an assert ends the story
             ::setenv(variable, (folder_ + "/config.json").c_str(), 1);
             if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(126);
             ::execl(LOTUSLEAD_PROGRAM, LOTUSLEAD_PROGRAM, nullptr);
