--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -8,8 +8,18 @@
 
 using std::chrono::duration_cast;
 
+namespace {
+
+// Whatever a site allows, a request of the real gateway has one attempt out at a time.
+settings::Vocabulary withoutSecondCopies(settings::Vocabulary words) {
+    words.settings.secondCopies = false;
+    return words;
+}
+
+}  // namespace
+
 Decisions::Decisions(settings::Vocabulary words, std::uint64_t seed, Micros now, Micros unixAhead)
-    : words_(std::move(words)), router_(words_.settings, seed), unixAhead_(unixAhead) {
+    : words_(withoutSecondCopies(std::move(words))), router_(words_.settings, seed), unixAhead_(unixAhead) {
     router_.start(moduleTime(now), actions_);
     collect(now);
 }
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -269,15 +269,15 @@
     net::Stream stream_;
 };
 
-Stores::Stores(net::Loop& loop, const settings::Vocabulary& words)
-    : loop_(loop),
-      connectTimeout_(words.connectTimeout.count() > 0
-                          ? std::chrono::duration_cast<Micros>(words.connectTimeout)
-                          : kConnectTimeout),
-      idleClose_(words.idleClose.count() > 0 ? std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10
-                                             : kIdleClose),
-      streams_(words.streamsPerConnection > 0 ? static_cast<std::size_t>(words.streamsPerConnection)
-                                              : kStreams) {}
+Stores::Stores(net::Loop& loop, const settings::Configuration& configuration)
+    : loop_(loop), connectTimeout_(kConnectTimeout), idleClose_(kIdleClose), streams_(kStreams) {
+    const settings::Vocabulary& words = configuration.words;
+    if (words.connectTimeout.count() > 0)
+        connectTimeout_ = std::chrono::duration_cast<Micros>(words.connectTimeout);
+    if (words.idleClose.count() > 0)
+        idleClose_ = std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10;
+    if (words.streamsPerConnection > 0) streams_ = static_cast<std::size_t>(words.streamsPerConnection);
+}
 
 Stores::~Stores() = default;
 
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -26,7 +26,7 @@
                       heldBack = 0;
     };
 
-    Stores(net::Loop& loop, const settings::Vocabulary& words);
+    Stores(net::Loop& loop, const settings::Configuration& configuration);
     ~Stores() override;
 
     void listen(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
