Read the configuration again on SIGHUP: whole, between two turns, or not at all

Classes and zones keep their places over a reload (settings::continued), so that open requests and listed hosts go on meaning the same. The story sighupTakesANewFileWholeAndKeepsTheOldOneElse ends with the program's death without the change.

--- a/include/lotuslead/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -206,6 +206,9 @@
     Router& operator=(Router&&) noexcept;
 
     void start(Time now, Actions& out);
+    // New settings for what comes from now on. A class and a zone keep their places; there may be further
+    // ones.
+    void reconfigure(Settings settings);
     void handle(Time now, const HostList& event, Actions& out);
     void handleListFailed(Time now, Actions& out);
     void handle(Time now, const Request& event, Actions& out);
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -24,6 +24,11 @@
     collect(now);
 }
 
+void Decisions::reconfigure(settings::Vocabulary words) {
+    words_ = withoutSecondCopies(std::move(words));
+    router_.reconfigure(words_.settings);
+}
+
 void Decisions::list(Micros now, const settings::BusEvent& event) {
     HostList list;
     list.whole = event.whole;
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -66,6 +66,8 @@
     Decisions(settings::Vocabulary words, std::uint64_t seed, Micros now, Micros unixAhead);
 
     const settings::Vocabulary& words() const { return words_; }
+    // In place of those before, of which they are the continuation (settings::continued).
+    void reconfigure(settings::Vocabulary words);
 
     void list(Micros now, const settings::BusEvent& event);
     void purge(Micros now, const settings::BusEvent& event);
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -15,6 +15,7 @@
 public:
     virtual ~Service() = default;
     virtual void open() = 0;            // begins to listen
+    virtual void reload() = 0;          // reads its configuration again; what can't be used changes nothing
     virtual void turn(Micros now) = 0;  // what is due by the clock
     virtual Micros nextTurn() const = 0;
     virtual void leave() = 0;  // the process is to end: health checks are told
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <csignal>
 #include <system_error>
+#include <utility>
 
 namespace lotuslead::gateway {
 
@@ -27,7 +28,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
     sigemptyset(&set);
-    for (const int number : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, number);
+    for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, number);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     signals_.reset(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!signals_) throw std::system_error(errno, std::generic_category(), "signalfd");
@@ -48,6 +49,7 @@
         for (const auto& service : services_) until = std::min(until, service->nextTurn());
         if (phase_ == Phase::draining) until = std::min(until, loop_.now() + kDrainTick);
         loop_.turn(until);
+        reload();
         for (const auto& service : services_) service->turn(loop_.now());
         advance();
     }
@@ -55,6 +57,12 @@
     return 0;
 }
 
+// Between two turns: nothing that a turn has begun meets other settings at its end.
+void Gateway::reload() {
+    if (!std::exchange(reloadAsked_, false)) return;
+    for (const auto& service : services_) service->reload();
+}
+
 void Gateway::drain() {
     if (phase_ != Phase::serving) return;
     phase_ = Phase::draining;
@@ -90,6 +98,8 @@
     while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
         if (info.ssi_signo == SIGUSR1)
             printCounters();
+        else if (info.ssi_signo == SIGHUP)
+            reloadAsked_ = true;
         else
             drain();
     }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -24,6 +24,7 @@
     std::uint32_t ready(std::uint32_t events) override;  // signals
 
     void start();
+    void reload();
     void drain();
     void advance();
     std::size_t openRequests() const;
@@ -34,6 +35,7 @@
     net::Descriptor signals_;
     net::Loop::HandlerId signalsId_ = 0;
     Phase phase_ = Phase::starting;
+    bool reloadAsked_ = false;
     core::Micros drainingSince_{};
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,12 +36,13 @@
         if (!platformFile && !repositoryFile) throw settings::Malformed("variable LB_CONFIG is not set");
         gateway::Gateway gateway;
         if (platformFile)
-            gateway.add(std::make_unique<platform::Service>(
-                gateway.loop(), settings::readConfiguration(contentsOf("LB_CONFIG", platformFile))));
+            gateway.add(std::make_unique<platform::Service>(gateway.loop(), [=] {
+                return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile));
+            }));
         if (repositoryFile)
-            gateway.add(std::make_unique<repository::Service>(
-                gateway.loop(),
-                settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile))));
+            gateway.add(std::make_unique<repository::Service>(gateway.loop(), [=] {
+                return settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile));
+            }));
         return gateway.run();
     } catch (const settings::Malformed& problem) {
         std::fprintf(stderr, "lotuslead: bad configuration: %s\n", problem.what());
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -1,5 +1,6 @@
 #include "bus.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <string>
 
@@ -18,18 +19,32 @@
 
 }  // namespace
 
-BusReader::BusReader(net::Loop& loop, const settings::Endpoint& bus, std::int64_t offset, Apply apply)
-    : loop_(loop),
-      bus_(bus),
-      offset_(offset),
-      apply_(std::move(apply)),
-      parser_(net::HttpParser::Kind::response, kLimits) {}
+BusReader::BusReader(net::Loop& loop, Apply apply)
+    : loop_(loop), apply_(std::move(apply)), parser_(net::HttpParser::Kind::response, kLimits) {}
 
 BusReader::~BusReader() {
     if (timer_) loop_.cancel(*timer_);
 }
 
-void BusReader::start() { connect(); }
+void BusReader::moveTo(const std::optional<settings::Endpoint>& bus) {
+    if (bus == bus_) return;
+    bus_ = bus;
+    failures_ = 0;
+    if (stream_) stream_->close();
+    if (timer_) loop_.cancel(*timer_);
+    timer_.reset();
+    if (bus_) connect();
+}
+
+void BusReader::take(const settings::BusBatch& batch) {
+    for (const settings::BusEvent& event : batch.events) {
+        if (event.offset <= offset_) continue;
+        offset_ = event.offset;
+        ++counters_.events;
+        apply_(event);
+    }
+    offset_ = std::max(offset_, batch.offset);
+}
 
 void BusReader::arm(net::Micros delay, std::function<void()> task) {
     if (timer_) loop_.cancel(*timer_);
@@ -42,7 +57,7 @@
 void BusReader::connect() {
     parser_ = net::HttpParser(net::HttpParser::Kind::response, kLimits);
     if (stream_) loop_.retire(stream_);
-    stream_ = std::make_shared<net::Stream>(loop_, bus_, static_cast<net::Stream::User&>(*this));
+    stream_ = std::make_shared<net::Stream>(loop_, *bus_, static_cast<net::Stream::User&>(*this));
     arm(kConnect, [this] { reconnect("no connection in time"); });
 }
 
@@ -57,8 +72,8 @@
 void BusReader::ask() {
     ++counters_.polls;
     stream_->write("GET /bus/read?from=" + std::to_string(offset_) +
-                   "&hold=" + std::to_string(kHold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus_.host + ":" +
-                   std::to_string(bus_.port) + "\r\n\r\n");
+                   "&hold=" + std::to_string(kHold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus_->host +
+                   ":" + std::to_string(bus_->port) + "\r\n\r\n");
     arm(kHold + kSilent, [this] { reconnect("silent"); });
 }
 
@@ -76,14 +91,7 @@
 bool BusReader::takeAnswer() {
     if (parser_.head().status != 200) return false;
     try {
-        const auto batch = settings::readBatch(nlohmann::json::parse(parser_.body()));
-        for (const settings::BusEvent& event : batch.events) {
-            if (event.offset <= offset_) continue;
-            offset_ = event.offset;
-            ++counters_.events;
-            apply_(event);
-        }
-        offset_ = std::max(offset_, batch.offset);
+        take(settings::readBatch(nlohmann::json::parse(parser_.body())));
     } catch (const std::exception& problem) {
         std::fprintf(stderr, "event bus: cannot use its answer: %s\n", problem.what());
         return false;
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -20,9 +20,12 @@
         std::uint64_t polls = 0, events = 0, reconnects = 0;
     };
 
-    BusReader(net::Loop& loop, const settings::Endpoint& bus, std::int64_t offset, Apply apply);
+    BusReader(net::Loop& loop, Apply apply);
     ~BusReader() override;
-    void start();
+    // Asks at this address from now on, at once and from the last event that was applied; none: not at all.
+    void moveTo(const std::optional<settings::Endpoint>& bus);
+    // An event that came by another way, such as a configuration: applied if it is a later one.
+    void take(const settings::BusBatch& batch);
     const Counters& counters() const { return counters_; }
 
 private:
@@ -37,8 +40,8 @@
     void arm(net::Micros delay, std::function<void()> task);
 
     net::Loop& loop_;
-    settings::Endpoint bus_;
-    std::int64_t offset_;
+    std::optional<settings::Endpoint> bus_;
+    std::int64_t offset_ = 0;
     Apply apply_;
     Counters counters_;
     net::HttpParser parser_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -173,17 +173,29 @@
 
 Front::Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration)
     : loop_(loop), requests_(requests), words_(configuration.words), address_(configuration.listen) {
-    mostClients_ = static_cast<std::size_t>(configuration.limits.sockets) / 3;  // the rest is for stores
-    mostBytes_ = static_cast<std::size_t>(configuration.limits.memoryMb) * 1024 * 1024 * 5 / 8;
+    takeLimits(configuration.limits);
+}
+
+void Front::takeLimits(const settings::Limits& limits) {
+    mostClients_ = static_cast<std::size_t>(limits.sockets) / 3;  // the rest is for stores
+    mostBytes_ = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024 * 5 / 8;
+}
+
+void Front::reconfigure(const settings::Configuration& configuration) {
+    if (listener_ && !(configuration.listen == address_)) listener_ = listenOn(configuration.listen);
+    address_ = configuration.listen;
+    takeLimits(configuration.limits);
 }
 
 Front::~Front() {
     for (const auto& [key, client] : clients_) client->abandon();
 }
 
-void Front::open() {
-    listener_ = std::make_unique<net::Listener>(loop_, address_,
-                                                [this](net::Descriptor fd) { accept(std::move(fd)); });
+void Front::open() { listener_ = listenOn(address_); }
+
+std::unique_ptr<net::Listener> Front::listenOn(const settings::Endpoint& address) {
+    return std::make_unique<net::Listener>(loop_, address,
+                                           [this](net::Descriptor fd) { accept(std::move(fd)); });
 }
 
 void Front::stopListening() { listener_.reset(); }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -25,6 +25,9 @@
     ~Front();
 
     void open();  // starts to listen
+    // Other limits, and perhaps another address; throws, with nothing changed, where that can't be listened
+    // on.
+    void reconfigure(const settings::Configuration& configuration);
     void stopListening();
     void leave() { leaving_ = true; }  // tells checks so
     bool idle() const;                 // nothing is owed and all answers are with the kernel
@@ -39,13 +42,15 @@
     bool closeAnIdleClient();
     bool roomForOne() const;
     void forget(Client* client);
+    void takeLimits(const settings::Limits& limits);
+    std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
     net::Loop& loop_;
     core::Requests& requests_;
     const settings::Vocabulary& words_;
     settings::Endpoint address_;
-    std::size_t mostClients_;
-    std::size_t mostBytes_;
+    std::size_t mostClients_ = 0;
+    std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read
     bool leaving_ = false;
     RequestId nextId_ = 1;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <algorithm>
-#include <memory>
+#include <functional>
 #include <string>
 
 #include "../core/service.hpp"
@@ -12,27 +12,49 @@
 
 inline const settings::Configuration& baseOf(const settings::Configuration& c) { return c; }
 inline const settings::Configuration& baseOf(const settings::RepositoryConfiguration& c) { return c.base; }
+// What follows a configuration at the same instance: classes keep their places.
+inline void continueFrom(const settings::Configuration& before, settings::Configuration& fresh) {
+    fresh.words = settings::continued(before.words, fresh.words);
+}
+inline void continueFrom(const settings::RepositoryConfiguration& before,
+                         settings::RepositoryConfiguration& fresh) {
+    continueFrom(before.base, fresh.base);
+    for (settings::Route& route : fresh.routes)
+        route.classIndex = fresh.base.words.classes.at(route.className);
+}
 
 template <class Configuration, class Front, class Carrier>
 class FrontService : public core::Service {
 public:
+    using Source = std::function<Configuration()>;  // throws settings::Malformed
+
     void open() override {
         const settings::Configuration& base = baseOf(configuration_);
-        const settings::BusBatch known = settings::readBatch(base.known);
-        std::int64_t offset = known.offset;
-        for (const settings::BusEvent& event : known.events) {
-            apply(event);
-            offset = std::max(offset, event.offset);
-        }
-        if (base.bus) {
-            bus_ = std::make_unique<BusReader>(loop_, *base.bus, offset,
-                                               [this](const settings::BusEvent& event) { apply(event); });
-            bus_->start();
-        }
+        bus_.take(settings::readBatch(base.known));
+        bus_.moveTo(base.bus);
         front_.open();
         std::fprintf(stderr, "%s: %s on %s:%u\n", base.name.c_str(), opened_, base.listen.host.c_str(),
                      front_.port());
     }
+    // All that can fail comes first; from there on the new file applies whole.
+    void reload() override {
+        const std::string name = baseOf(configuration_).name;
+        try {
+            Configuration fresh = source_();
+            const settings::BusBatch known = settings::readBatch(baseOf(fresh).known);
+            continueFrom(configuration_, fresh);
+            front_.reconfigure(fresh);
+            carrier_.reconfigure(fresh);
+            decisions_.reconfigure(baseOf(fresh).words);
+            configuration_ = std::move(fresh);
+            bus_.take(known);  // events that came by the event bus already are not applied again
+            bus_.moveTo(baseOf(configuration_).bus);
+            std::fprintf(stderr, "%s: configuration read again\n", name.c_str());
+        } catch (const std::exception& problem) {
+            std::fprintf(stderr, "%s: configuration not taken, the old one stays: %s\n", name.c_str(),
+                         problem.what());
+        }
+    }
     void turn(core::Micros now) override { requests_.turn(now); }
     core::Micros nextTurn() const override { return requests_.nextTurn(); }
     void leave() override { front_.leave(); }
@@ -46,29 +68,30 @@
         const std::string& name = baseOf(configuration_).name;
         core::printRequestCounters(name, requests_);
         printOwnCounters(name);
-        if (!bus_) return;
-        const auto& b = bus_->counters();
+        const auto& b = bus_.counters();
         core::printFigures(name, "bus",
                            {{"polls", b.polls}, {"events", b.events}, {"reconnects", b.reconnects}});
     }
 
 protected:
-    FrontService(net::Loop& loop, Configuration configuration, const char* opened,
-                 core::Requests::PurgedMeanwhile purged)
+    FrontService(net::Loop& loop, Source source, const char* opened, core::Requests::PurgedMeanwhile purged)
         : loop_(loop),
-          configuration_(std::move(configuration)),
+          source_(std::move(source)),
+          configuration_(source_()),
           opened_(opened),
           carrier_(loop_, configuration_),
           decisions_(baseOf(configuration_).words, baseOf(configuration_).seed, loop_.now(),
                      core::unixAhead(loop_.now())),
           requests_(decisions_, carrier_, purged),
-          front_(loop_, requests_, configuration_) {
+          front_(loop_, requests_, configuration_),
+          bus_(loop_, [this](const settings::BusEvent& event) { apply(event); }) {
         carrier_.listen({[this](RequestId request, int attempt) { return requests_.holds(request, attempt); },
                          [this](core::AttemptEnd end) { requests_.ended(loop_.now(), std::move(end)); }});
     }
     virtual void printOwnCounters(const std::string& name) const = 0;
 
     net::Loop& loop_;
+    Source source_;
     Configuration configuration_;
     const char* opened_;
     Carrier carrier_;
@@ -84,7 +107,7 @@
         carrier_.list(event);
     }
 
-    std::unique_ptr<BusReader> bus_;
+    BusReader bus_;
 };
 
 }  // namespace lotuslead::platform
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -2,8 +2,8 @@
 
 namespace lotuslead::platform {
 
-Service::Service(net::Loop& loop, settings::Configuration configuration)
-    : FrontService(loop, std::move(configuration), "serving", core::Requests::PurgedMeanwhile::serve) {}
+Service::Service(net::Loop& loop, Source source)
+    : FrontService(loop, std::move(source), "serving", core::Requests::PurgedMeanwhile::serve) {}
 
 void Service::printOwnCounters(const std::string& name) const {
     const auto& f = front_.counters();
--- a/src/platform/service.hpp
+++ b/src/platform/service.hpp
@@ -9,7 +9,7 @@
 
 class Service : public FrontService<settings::Configuration, Front, Stores> {
 public:
-    Service(net::Loop& loop, settings::Configuration configuration);
+    Service(net::Loop& loop, Source source);
 
 private:
     void printOwnCounters(const std::string& name) const override;
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -269,9 +269,15 @@
     net::Stream stream_;
 };
 
-Stores::Stores(net::Loop& loop, const settings::Configuration& configuration)
-    : loop_(loop), connectTimeout_(kConnectTimeout), idleClose_(kIdleClose), streams_(kStreams) {
+Stores::Stores(net::Loop& loop, const settings::Configuration& configuration) : loop_(loop) {
+    reconfigure(configuration);
+}
+
+void Stores::reconfigure(const settings::Configuration& configuration) {
     const settings::Vocabulary& words = configuration.words;
+    connectTimeout_ = kConnectTimeout;
+    idleClose_ = kIdleClose;
+    streams_ = kStreams;
     if (words.connectTimeout.count() > 0)
         connectTimeout_ = std::chrono::duration_cast<Micros>(words.connectTimeout);
     if (words.idleClose.count() > 0)
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -31,6 +31,7 @@
 
     void listen(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
     void list(const settings::BusEvent& event);
+    void reconfigure(const settings::Configuration& configuration);
 
     void send(core::Micros now, const core::Request& request, const core::Verdict& send) override;
     bool cancel(core::Micros now, RequestId request, int attempt) override;
@@ -56,8 +57,8 @@
     void dropAll(Store& store);
 
     net::Loop& loop_;
-    core::Micros connectTimeout_, idleClose_;
-    std::size_t streams_;
+    core::Micros connectTimeout_{}, idleClose_{};
+    std::size_t streams_ = 0;
     Callbacks callbacks_;
     Counters counters_;
     std::unordered_map<std::string, Store> stores_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -169,10 +169,21 @@
         if (set_.mustAskForList) out.push_back(Watch{});
     }
 
+    void reconfigure(Settings settings) {
+        set_ = std::move(settings);
+        meanWork_.resize(set_.classes.size(), 0);
+        hitTime_.resize(set_.classes.size(), 0);
+        groupHosts();
+    }
+
     void takeList(const HostList& list) {
         if (list.whole)
             for (Host& host : hosts_) host.listed = false;
         for (const HostEntry& entry : list.entries) takeEntry(entry);
+        groupHosts();
+    }
+
+    void groupHosts() {
         for (auto* group : {&caches_, &parents_, &origins_}) group->clear();
         for (HostIndex i = 0; i < hosts_.size(); ++i) {
             const HostEntry& entry = hosts_[i].entry;
@@ -892,6 +903,7 @@
 Router& Router::operator=(Router&&) noexcept = default;
 
 void Router::start(Time now, Actions& out) { impl_->start(now, out); }
+void Router::reconfigure(Settings settings) { impl_->reconfigure(std::move(settings)); }
 void Router::handle(Time, const HostList& event, Actions&) { impl_->takeList(event); }
 void Router::handleListFailed(Time now, Actions& out) { impl_->listFailed(now, out); }
 void Router::handle(Time now, const Request& event, Actions& out) { impl_->take(now, event, out); }
--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -412,7 +412,10 @@
 Front::Front(net::Loop& loop, core::Requests& requests,
              const settings::RepositoryConfiguration& configuration)
     : loop_(loop), requests_(requests), configuration_(configuration) {
-    const auto& limits = configuration.base.limits;
+    takeLimits(configuration.base.limits);
+}
+
+void Front::takeLimits(const settings::Limits& limits) {
     const auto sockets = static_cast<std::size_t>(limits.sockets);
     mostClients_ = std::min(sockets / 3, sockets - std::min(sockets / 2, kSparedDescriptors));
     mostBytes_ = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024 / 2;
@@ -420,9 +423,17 @@
 
 Front::~Front() { clients_.clear(); }
 
-void Front::open() {
-    listener_ = std::make_unique<net::Listener>(loop_, configuration_.base.listen,
-                                                [this](net::Descriptor fd) { accept(std::move(fd)); });
+void Front::open() { listener_ = listenOn(configuration_.base.listen); }
+
+std::unique_ptr<net::Listener> Front::listenOn(const settings::Endpoint& address) {
+    return std::make_unique<net::Listener>(loop_, address,
+                                           [this](net::Descriptor fd) { accept(std::move(fd)); });
+}
+
+void Front::reconfigure(const settings::RepositoryConfiguration& configuration) {
+    if (listener_ && !(configuration.base.listen == configuration_.base.listen))
+        listener_ = listenOn(configuration.base.listen);
+    takeLimits(configuration.base.limits);
 }
 
 void Front::accept(net::Descriptor fd) {
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -24,6 +24,9 @@
     ~Front();
 
     void open();
+    // Other limits and routes are read from the configuration that it was given; throws like the platform's
+    // front.
+    void reconfigure(const settings::RepositoryConfiguration& configuration);
     void stopListening() { listener_.reset(); }
     void leave() { leaving_ = true; }  // connections are not kept any more
     bool idle() const;
@@ -36,12 +39,14 @@
     void accept(net::Descriptor fd);
     bool roomFor(std::size_t bytes) const;
     void forget(Client* client);
+    void takeLimits(const settings::Limits& limits);
+    std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
     net::Loop& loop_;
     core::Requests& requests_;
     const settings::RepositoryConfiguration& configuration_;
-    std::size_t mostClients_;
-    std::size_t mostBytes_;
+    std::size_t mostClients_ = 0;
+    std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;    // bytes of answers that clients have not yet read
     std::size_t expected_ = 0;  // bytes that the requests in hand may yet bring
     bool leaving_ = false;
--- a/src/repository/service.cpp
+++ b/src/repository/service.cpp
@@ -2,9 +2,8 @@
 
 namespace lotuslead::repository {
 
-Service::Service(net::Loop& loop, settings::RepositoryConfiguration configuration)
-    : FrontService(loop, std::move(configuration), "repository front",
-                   core::Requests::PurgedMeanwhile::fetchAnew) {}
+Service::Service(net::Loop& loop, Source source)
+    : FrontService(loop, std::move(source), "repository front", core::Requests::PurgedMeanwhile::fetchAnew) {}
 
 void Service::printOwnCounters(const std::string& name) const {
     const auto& f = front_.counters();
--- a/src/repository/service.hpp
+++ b/src/repository/service.hpp
@@ -9,7 +9,7 @@
 
 class Service : public platform::FrontService<settings::RepositoryConfiguration, Front, Upstreams> {
 public:
-    Service(net::Loop& loop, settings::RepositoryConfiguration configuration);
+    Service(net::Loop& loop, Source source);
 
 private:
     void printOwnCounters(const std::string& name) const override;
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -200,6 +200,10 @@
 
 Upstreams::Upstreams(net::Loop& loop, const settings::RepositoryConfiguration& configuration)
     : loop_(loop), configuration_(configuration) {
+    reconfigure(configuration);
+}
+
+void Upstreams::reconfigure(const settings::RepositoryConfiguration& configuration) {
     const settings::Vocabulary& words = configuration.base.words;
     const auto given = [](Time t, Micros otherwise) {
         return t.count() > 0 ? std::chrono::duration_cast<Micros>(t) : otherwise;
--- a/src/repository/upstreams.hpp
+++ b/src/repository/upstreams.hpp
@@ -35,6 +35,7 @@
 
     void listen(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
     void list(const settings::BusEvent& event);
+    void reconfigure(const settings::RepositoryConfiguration& configuration);
     void send(core::Micros now, const core::Request& request, const core::Verdict& send) override;
     bool cancel(core::Micros now, RequestId request, int attempt) override;
 
@@ -63,7 +64,7 @@
 
     net::Loop& loop_;
     const settings::RepositoryConfiguration& configuration_;
-    core::Micros connectTimeout_, idleClose_;
+    core::Micros connectTimeout_{}, idleClose_{};
     Callbacks callbacks_;
     Counters counters_;
     std::unordered_map<std::string, Server> servers_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -227,13 +228,15 @@
     Vocabulary words;
     Settings& settings = words.settings;
     for (const json& item : listOrEmpty(info, "categories")) {
-        words.classes.emplace(textOr(item, "name", ""), static_cast<int>(settings.classes.size()));
+        words.classNames.push_back(textOr(item, "name", ""));
+        words.classes.emplace(words.classNames.back(), static_cast<int>(settings.classes.size()));
         settings.classes.push_back(readClass(item));
     }
     int place = 0;
     for (const json& item : listOrEmpty(info, "zones")) {
         if (!item.is_string()) wrongType("zones", "a list of names");
-        words.zones.emplace(item.get<std::string>(), place++);
+        words.zoneNames.push_back(item.get<std::string>());
+        words.zones.emplace(words.zoneNames.back(), place++);
     }
     settings.zone = words.zoneOf(textOr(info, "zone", ""));
     settings.routers = static_cast<int>(wholeOr(info, "balancers", 1));
@@ -264,6 +267,52 @@
     return words;
 }
 
+namespace {
+
+// For each name of the fresh list its place in the old one, which grows by the names that are new.
+std::vector<std::size_t> placesOf(const std::vector<std::string>& fresh, std::vector<std::string>& names) {
+    std::vector<std::size_t> places;
+    for (const std::string& name : fresh) {
+        const auto found = std::find(names.begin(), names.end(), name);
+        places.push_back(static_cast<std::size_t>(found - names.begin()));
+        if (found == names.end()) names.push_back(name);
+    }
+    return places;
+}
+
+template <class Item>
+std::vector<Item> moved(const std::vector<Item>& fresh, const std::vector<std::size_t>& places,
+                        std::vector<Item> into, std::size_t size, const Item& absent) {
+    if (fresh.empty()) return {};  // not told
+    into.resize(size, absent);
+    for (std::size_t i = 0; i < std::min(fresh.size(), places.size()); ++i) into[places[i]] = fresh[i];
+    return into;
+}
+
+}  // namespace
+
+Vocabulary continued(const Vocabulary& before, const Vocabulary& fresh) {
+    Vocabulary words = fresh;
+    words.classNames = before.classNames;
+    words.zoneNames = before.zoneNames;
+    const auto classes = placesOf(fresh.classNames, words.classNames);
+    const auto zones = placesOf(fresh.zoneNames, words.zoneNames);
+    const auto place = [](const std::vector<std::size_t>& places, int at) {
+        return at < 0 ? at : static_cast<int>(places.at(static_cast<std::size_t>(at)));
+    };
+    for (auto& [name, at] : words.classes) at = place(classes, at);
+    for (auto& [name, at] : words.zones) at = place(zones, at);
+    Settings& s = words.settings;
+    const Settings& f = fresh.settings;
+    s.zone = place(zones, f.zone);
+    s.classes = moved(f.classes, classes, before.settings.classes, words.classNames.size(), ClassSettings{});
+    const std::size_t all = words.zoneNames.size();
+    s.zoneHub = moved(f.zoneHub, zones, {}, all, -1);
+    s.routersByZone = moved(f.routersByZone, zones, {}, all, 0);
+    s.zoneLinkKb = moved(f.zoneLinkKb, zones, {}, all, 0.0);
+    return words;
+}
+
 Endpoint readEndpoint(const std::string& text, const std::string& field) {
     const auto colon = text.rfind(':');
     Endpoint result;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -21,8 +21,10 @@
 // The settings, and the names by which later events refer to them.
 struct Vocabulary {
     Settings settings;
-    std::unordered_map<std::string, int> classes;
+    std::unordered_map<std::string, int> classes;  // those that may be asked for
     std::unordered_map<std::string, int> zones;
+    std::vector<std::string> classNames;  // by place, also of classes that a later file no longer has
+    std::vector<std::string> zoneNames;
     std::string parentShape;  // empty: the site has no parents
     std::string originShape;
     Time connectTimeout{};  // zero: not told
@@ -35,9 +37,14 @@
 
 Vocabulary readSettings(const nlohmann::json& info);
 
+// The settings of a file that is read again: what both know keeps its place, so that requests in hand and
+// hosts that were listed before go on meaning the same.
+Vocabulary continued(const Vocabulary& before, const Vocabulary& fresh);
+
 struct Endpoint {
     std::string host;  // numeric
     std::uint16_t port = 0;
+    bool operator==(const Endpoint&) const = default;
 };
 Endpoint readEndpoint(const std::string& text, const std::string& field);
 
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -195,7 +195,8 @@
 class Bus {
 public:
     // A curt one ends each connection after one answer.
-    explicit Bus(bool curt = false) : curt_(curt), peer_([this](Connection& c) { serve(c); }) {}
+    explicit Bus(bool curt = false, int last = 1)
+        : last_(last), curt_(curt), peer_([this](Connection& c) { serve(c); }) {}
     ~Bus() {
         const std::lock_guard lock(mutex_);
         over_ = true;
@@ -233,7 +234,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<json> events_;
-    int last_ = 1;  // the first event is the list under `known`
+    int last_;  // the first event is the list under `known`
     int asked_ = 0;
     bool over_ = false;
     bool curt_;
@@ -335,6 +336,22 @@
         std::abort();
     }
     void signal(int number) { ::kill(pid_, number); }
+    // Until the log has this text; returns the log.
+    std::string awaitLog(const std::string& text, int times = 1) const {
+        for (int i = 0; i < kPatience * 200; ++i, std::this_thread::sleep_for(5ms)) {
+            const std::string all = log();
+            int count = 0;
+            for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size())
+                ++count;
+            if (count >= times) return all;
+        }
+        std::fprintf(stderr, "never logged '%s':\n%s\n", text.c_str(), log().c_str());
+        std::abort();
+    }
+    void rewrite(const std::string& configuration) {
+        std::ofstream(folder_ + "/next.json") << configuration;
+        std::rename((folder_ + "/next.json").c_str(), (folder_ + "/config.json").c_str());
+    }
     int exitCode() {
         int status = 0;
         ::waitpid(pid_, &status, 0);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -271,6 +271,57 @@
     assert(client.readResp()[3] == "new");
 }
 
+void sighupTakesANewFileWholeAndKeepsTheOldOneElse() {
+    Fleet fleet;
+    Mark pulled, go;
+    Peer slow(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        go.await(1);
+        serving("asked before")(c, words);
+    }));
+    Peer cache(store(serving("new")));
+    Bus before, after(false, 2);
+    json settings = configuration(fleet.with({host("cache-1", slow.address())}));
+    settings["bus"] = before.address();
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1");
+    pulled.await(1);
+
+    // What can't be used changes nothing, and says so in a line.
+    program.rewrite("{");
+    program.signal(SIGHUP);
+    program.awaitLog("t1: configuration not taken, the old one stays: the configuration is no JSON\n");
+    json wrong = settings;
+    wrong["bus"] = "nowhere";
+    program.rewrite(wrong.dump());
+    program.signal(SIGHUP);
+    program.awaitLog("field 'bus' is not address:port");
+    before.tell(topology({host("cache-0", cache.address())}));  // event 2, and it is asked after it
+
+    // One class less and one more, in another order; the event bus has moved and the numbers continue.
+    auto& categories = settings["settings"]["categories"];
+    categories = {categories[2], categories[1]};
+    categories.push_back(categories[1]);
+    categories[2]["name"] = "late";
+    settings["settings"]["extra"]["inParts"] = {false, false, false};
+    settings["settings"]["extra"]["neverKept"] = {true, false, false};
+    settings["bus"] = after.address();
+    program.rewrite(settings.dump());
+    program.signal(SIGHUP);
+    program.awaitLog("t1: configuration read again\n");
+    call(client, "2", "", "installer");
+    assert((client.readResp() == std::vector<std::string>{"2", "ERR", "-", ""}));
+    after.tell(topology({host("cache-1", slow.address(), "small", "draining")}));  // its event 3
+    call(client, "3", "", "late");
+    assert((client.readResp() == std::vector<std::string>{"3", "SERVED", "-", "new"}));
+    call(client, "4", ",nonce=5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "checkout");
+    assert((client.readResp() == std::vector<std::string>{"4", "SERVED", "-", "new"}));
+    // The request that was open all the while has its answer.
+    go.raise();
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "asked before"}));
+}
+
 void badConfigurationIsOneLineAndExitTwo() {
     json settings = configuration({});
     settings["listen"] = "nowhere";
@@ -293,5 +344,6 @@
     atAThirdOfTheDescriptorsAnIdleClientMakesRoom();
     aClientThatDoesNotReadCostsLittleMemory();
     theListIsReadOnThroughABusThatHangsUp();
+    sighupTakesANewFileWholeAndKeepsTheOldOneElse();
     badConfigurationIsOneLineAndExitTwo();
 }
