Answer, refuse or close every bad client, and leave open requests alone

The fault was in front.cpp: call() ended the connection at a number that was open (whatever else was open there), a spoilt message ended it with nothing flushed, and closeAnIdleClient() closed whichever resting connection came first in the map, also one whose next request lay unread in the kernel. Silent connections were never closed, held all places, and 1593 connections of usual clients were the result.

Ruled out: memory (no_room 0). Calls are checked whole at the edge, also against the ids of open requests; a second request under a number stops the reading and leaves the first alone; answers are flushed and readable before a close; 32 open a connection, 16 messages a turn, 12 useless messages in a row; the first message within 2.5 s, a later one too; at the bound silent connections go first, then the one used longest ago, never one with unread bytes.

Six stories, each seen to fail on the program before.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -11,13 +11,15 @@
 #include <array>
 #include <cerrno>
 #include <system_error>
+#include <utility>
 
 namespace lotuslead::net {
 
 namespace {
 
 constexpr std::size_t kReadChunk = 64 * 1024;
-constexpr int kReadsATurn = 4;  // then the others have their turn
+constexpr std::size_t kMostDropped = 256 * 1024;  // of what comes in after the end
+constexpr int kReadsATurn = 4;                    // then the others have their turn
 constexpr int kAcceptsATurn = 64;
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
 
@@ -69,7 +71,7 @@
 void Stream::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
-    if (failedAtOnce_) loop_.cancel(timer_);
+    if (failedAtOnce_ || gentle_) loop_.cancel(timer_);
     if (id_ != 0) loop_.remove(id_, fd_.get());
     fd_.reset();
     queue_.clear();
@@ -78,7 +80,25 @@
 
 void Stream::closeAfterWriting() {
     closing_ = true;
-    if (unsent_ == 0) end(End::closedByPeer);
+    if (unsent_ == 0) allWritten();
+}
+
+void Stream::closeGently(Micros within) {
+    if (state_ != State::open || std::exchange(gentle_, true)) return;
+    timer_ = loop_.after(within, [this] { end(End::closedByPeer); });
+    pauseReading(false);
+    closeAfterWriting();
+}
+
+void Stream::allWritten() {
+    if (!gentle_) return end(End::closedByPeer);
+    ::shutdown(fd_.get(), SHUT_WR);
+}
+
+bool Stream::quiet() const {
+    char byte = 0;
+    return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void Stream::end(End why) {
@@ -152,11 +172,10 @@
     if ((events & EPOLLOUT) != 0) {
         flush();
         if (state_ == State::open && unsent_ == 0) {
-            if (closing_) {
-                end(End::closedByPeer);
-                return 0;
-            }
-            user_.streamDrained();
+            if (closing_)
+                allWritten();
+            else
+                user_.streamDrained();
         }
     }
     if (state_ == State::open && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) != 0) return readSome();
@@ -178,6 +197,12 @@
             end(got == 0 ? End::closedByPeer : End::reset);
             return 0;
         }
+        if (gentle_) {
+            dropped_ += static_cast<std::size_t>(got);
+            if (dropped_ <= kMostDropped) continue;
+            end(End::closedByPeer);
+            return 0;
+        }
         if (!user_.streamData({chunk.data(), static_cast<std::size_t>(got)})) {
             end(End::malformed);
             return 0;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -36,6 +36,11 @@
     void pauseReading(bool paused);
     void close();              // at once; nothing is told any more
     void closeAfterWriting();  // once all is with the kernel
+    // As that, but what the peer still sends is read and dropped until it closes too, the time is up or it
+    // has sent too much: a close over unread bytes would be a reset, which takes back from the peer what it
+    // has not yet read.
+    void closeGently(Micros within);
+    bool quiet() const;  // nothing has come in that was not read
 
     std::uint32_t ready(std::uint32_t events) override;
 
@@ -44,6 +49,7 @@
 
     void flush();
     void end(End why);
+    void allWritten();
     std::uint32_t readSome();
 
     Loop& loop_;
@@ -57,6 +63,8 @@
     bool paused_ = false;
     bool readable_ = false;  // an edge came while paused
     bool closing_ = false;
+    bool gentle_ = false;
+    std::size_t dropped_ = 0;
     bool failedAtOnce_ = false;
     Loop::TimerKey timer_{};
 };
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <optional>
+#include <utility>
 
 #include "fields.hpp"
 
@@ -14,62 +16,215 @@
 namespace {
 
 constexpr std::size_t kLargestAnswer = 240'000;
+constexpr std::size_t kLargestBody = 48'000;
 constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
-constexpr std::size_t kSparedDescriptors = 128;          // for stores, the event bus and the like
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
+// Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
+constexpr Micros kFirstMessage = 2500ms;      // from connecting to the first whole message
+constexpr Micros kHalfMessage = 2500ms;       // from the first byte of a later one to its last
+constexpr Micros kGentle = 500ms;             // for what was answered to be read before the close
+constexpr Micros kSilentYoung = 200ms;        // a new connection may still be about to ask
+constexpr Micros kTakenBackAtOnce = 20ms;     // no client that waits for its answer does so
+constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
+constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
+constexpr int kMostStrikes = 12;              // useless messages in a row that a connection may bring
+constexpr std::int64_t kLongestPatienceMs = 600'000;
+constexpr std::int64_t kLastBlock = 1'000'000;
+constexpr std::int64_t kLastFamily = 255;
 
-bool isHex16(std::string_view text) {
-    return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
+bool isHex(std::string_view text, std::size_t size) {
+    return text.size() == size && std::all_of(text.begin(), text.end(), [](char c) {
                return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
            });
 }
 
+bool isTag(std::string_view text) {
+    return !text.empty() && text.size() <= 19 && text.front() != '0' &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+// What the stores are given is checked here, as far as a form can be checked: a store closes the connection
+// on what it can't read, whatever else is open there.
+bool usable(const Fields& fields, const core::Request& request) {
+    const auto within = [&](std::string_view name, std::int64_t least, std::int64_t most) {
+        const auto value = fields.whole(name);
+        return fields.text(name).empty() || (value && *value >= least && *value <= most);
+    };
+    const auto hex = [](const std::string& text, std::size_t size) {
+        return text.empty() || isHex(text, size);
+    };
+    return isHex(request.label, 16) && isHex(request.object, 16) && hex(request.known, 16) &&
+           hex(request.key, 32) && within("patience", 1, kLongestPatienceMs) &&
+           within("block", 0, kLastBlock) && within("family", 0, kLastFamily) && within("redo", 1, 1) &&
+           request.body.size() <= kLargestBody;
+}
+
 }  // namespace
 
 class Front::Client : public net::Stream::User {
 public:
     Client(Front& owner, net::Descriptor fd)
-        : owner_(owner), parser_({8, 64 * 1024, 80 * 1024}), stream_(owner.loop_, std::move(fd), *this) {}
-    ~Client() override { count(0); }
+        : owner_(owner),
+          parser_({8, 64 * 1024, 80 * 1024}),
+          connectedAt_(owner.loop_.now()),
+          lastUsed_(connectedAt_),
+          stream_(owner.loop_, std::move(fd), *this) {
+        watch(kFirstMessage);
+    }
+    ~Client() override { abandon(); }
 
     bool idle() const { return open_.empty() && stream_.unsent() == 0; }
-    // Idle, has been used, and no part of a further call has come.
-    bool resting() const { return idle() && used_ && !parser_.midMessage(); }
+    // Idle, has been used, and nothing of a further call has come, read or unread.
+    bool resting() const {
+        return idle() && used_ && !retired_ && ahead_.empty() && !parser_.midMessage() && stream_.quiet();
+    }
+    bool silent() const { return !used_ && ahead_.empty() && !parser_.midMessage() && stream_.quiet(); }
+    bool fresh() const { return !used_; }
+    bool young() const { return owner_.loop_.now() - connectedAt_ < kSilentYoung; }
+    Micros lastUsed() const { return lastUsed_; }
+
     void abandon() {
         stream_.close();
+        stopWatch();
+        if (resume_) owner_.loop_.cancel(*resume_);
+        resume_.reset();
         const auto open = std::move(open_);
         open_.clear();
-        for (const auto& [tag, id] : open) owner_.requests_.withdraw(owner_.loop_.now(), id);
+        for (const auto& [tag, call] : open) {
+            owner_.labels_.erase(call.label);
+            owner_.requests_.withdraw(owner_.loop_.now(), call.id);
+        }
+        ahead_.clear();
         count(0);
     }
 
 private:
+    struct Call {
+        RequestId id = 0;
+        std::string label;
+        Micros takenAt{};
+    };
+
+    // ----- input -----
+
     bool streamData(std::string_view data) override {
-        while (!data.empty()) {
-            const auto status = parser_.feed(data);
-            if (status == net::RespParser::Status::malformed) return false;
-            if (status == net::RespParser::Status::message && !take(parser_.take())) return false;
-        }
+        ahead_.append(data);
+        takeMessages();
         return true;
     }
+
+    // A share of the turn for each client: a burst of one waits in its own connection, not in the others'
+    // way.
+    void takeMessages() {
+        if (stream_.closed() || retired_) return;
+        std::string_view rest = ahead_;
+        bool fits = true;
+        for (int left = kMessagesATurn; left > 0 && fits && !rest.empty() && !retired_;) {
+            const auto status = parser_.feed(rest);
+            fits = status != net::RespParser::Status::malformed;
+            if (status != net::RespParser::Status::message) continue;
+            --left;
+            fits = take(parser_.take());
+        }
+        if (stream_.closed()) return;
+        if (!fits && !retired_) return spoilt();
+        ahead_.erase(0, retired_ ? ahead_.size() : ahead_.size() - rest.size());
+        if (!ahead_.empty() && !resume_)
+            resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
+                resume_.reset();
+                takeMessages();
+            });
+        watchMessage();
+        settle();
+    }
+
+    // What comes next can't be told apart any more. What was taken has its answer, and the client the time to
+    // read it.
+    void spoilt() {
+        ++owner_.counters_.malformed;
+        retire();
+        failOpen();
+        endIfAnswered();
+    }
+    // Nothing more is taken from it; what is open keeps its own answer.
+    void retire() {
+        if (std::exchange(retired_, true)) return;
+        ahead_.clear();
+        const Micros until = connectedAt_ + kFirstMessage - owner_.loop_.now();
+        watch(std::max(until, Micros{kGentle}));
+        stream_.pauseReading(true);
+        endIfAnswered();
+    }
+    void failOpen() {
+        while (!open_.empty()) {
+            const auto [tag, call] = *open_.begin();
+            release(tag);
+            owner_.requests_.withdraw(owner_.loop_.now(), call.id);
+            answer(tag, "ERR", "-", {});
+        }
+    }
+    void endIfAnswered() {
+        if (!retired_ || !open_.empty() || std::exchange(ending_, true)) return;
+        stopWatch();
+        stream_.closeGently(kGentle);
+    }
+    // Useless messages in a row: nothing is gained by reading on.
+    void strike() {
+        if (++strikes_ < kMostStrikes || retired_) return;
+        ++owner_.counters_.retired;
+        retire();
+    }
+
     void streamDrained() override { settle(); }
-    void streamEnded(net::Stream::End why) override {
-        if (why == net::Stream::End::malformed) ++owner_.counters_.malformed;
+    void streamEnded(net::Stream::End) override {
         abandon();
         owner_.forget(this);
     }
 
+    // ----- time limits -----
+
+    void watchMessage() {
+        if (retired_ || !used_) return;
+        if (!parser_.midMessage()) return stopWatch();
+        if (!watch_) watch(kHalfMessage);
+    }
+    void watch(Micros delay) {
+        stopWatch();
+        watch_ = owner_.loop_.after(delay, [this] {
+            watch_.reset();
+            if (retired_) {
+                failOpen();
+                return endIfAnswered();
+            }
+            if (!ahead_.empty() || stream_.unsent() > kClientBacklog)
+                return watch(kHalfMessage);  // it waits for us
+            ++(used_ ? owner_.counters_.halfMessages : owner_.counters_.silent);
+            retire();
+            failOpen();
+            endIfAnswered();
+        });
+    }
+    void stopWatch() {
+        if (watch_) owner_.loop_.cancel(*watch_);
+        watch_.reset();
+    }
+
+    // ----- messages -----
+
     bool take(std::vector<std::string> words) {
-        if (words.size() < 2 || words[1].empty()) return false;
-        used_ = true;
+        if (words.size() < 2 || !isTag(words[1])) return false;
+        const bool first = !std::exchange(used_, true);
+        if (first) stopWatch();
+        lastUsed_ = owner_.loop_.now();
         if (words[0] == "CALL") return call(words);
         if (words[0] == "CANCEL") {
             const auto found = open_.find(words[1]);
             if (found == open_.end()) return true;  // the answer was under way already
-            const RequestId id = found->second;
-            open_.erase(found);
-            owner_.requests_.withdraw(owner_.loop_.now(), id);
+            const Call call = found->second;
+            release(words[1]);
+            owner_.requests_.withdraw(owner_.loop_.now(), call.id);
+            if (owner_.loop_.now() - call.takenAt < kTakenBackAtOnce) strike();
             return true;
         }
         if (words[0] != "CHECK") return false;
@@ -79,19 +234,34 @@
     }
 
     bool call(std::vector<std::string>& words) {
-        if (words.size() < 3 || open_.count(words[1]) > 0) return false;
+        if (words.size() < 3) return false;
         const std::string tag = words[1];
+        if (open_.count(tag) > 0) {
+            // An answer under this number would be the open request's, which has nothing to do with it.
+            ++owner_.counters_.unusable;
+            retire();
+            return true;
+        }
+        if (open_.size() >= kOpenAConnection) {
+            ++owner_.counters_.beyondBound;
+            shed(tag);
+            return true;
+        }
         const Fields fields(words.size() > 3 ? std::string_view(words[3]) : std::string_view{});
         core::Request request;
         const auto& classes = owner_.words_.classes;
         const auto known = classes.find(words[2]);
         request.label = fields.text("trace");
         request.object = fields.text("entity");
-        const auto patience = fields.whole("patience");
-        const bool badObject = !request.object.empty() && !isHex16(request.object);
-        if (known == classes.end() || !isHex16(request.label) || badObject || patience.value_or(1) < 0) {
+        request.repeated = fields.text("redo") == "1";
+        request.key = fields.text("nonce");
+        request.known = fields.text("cached");
+        if (words.size() > 4) request.body = std::move(words[4]);
+        // A second request under an id that is open would be a second attempt out, to the stores.
+        if (known == classes.end() || !usable(fields, request) || owner_.labels_.count(request.label) > 0) {
             ++owner_.counters_.unusable;
             answer(tag, "ERR", "-", {});
+            strike();
             return true;
         }
         if (!owner_.roomForOne()) {
@@ -105,24 +275,35 @@
         request.group = fields.whole("family").value_or(0);
         request.part = fields.whole("block").value_or(0);
         const Micros now = owner_.loop_.now();
+        const auto patience = fields.whole("patience");
         const auto giveUp = owner_.words_.settings.classes[static_cast<std::size_t>(known->second)].giveUp;
-        const Micros wait =
-            patience ? Micros{std::chrono::milliseconds{std::min<std::int64_t>(*patience, 600'000)}}
-                     : std::chrono::duration_cast<Micros>(giveUp);
+        const Micros wait = patience ? Micros{std::chrono::milliseconds{*patience}}
+                                     : std::chrono::duration_cast<Micros>(giveUp);
         request.deadline = now + std::max(Micros{1ms}, wait - kWayBack);
-        request.repeated = fields.text("redo") == "1";
-        request.key = fields.text("nonce");
-        request.known = fields.text("cached");
-        if (words.size() > 4) request.body = std::move(words[4]);
-        open_[tag] = request.id;
+        open_[tag] = {request.id, request.label, now};
+        owner_.labels_.insert(request.label);
         owner_.requests_.take(now, std::move(request),
                               [this, tag](RequestId, Reply&& reply) { finish(tag, std::move(reply)); });
         return true;
     }
 
+    void shed(const std::string& tag) {
+        answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+        strike();
+    }
+    void release(const std::string& tag) {
+        const auto found = open_.find(tag);
+        if (found == open_.end()) return;
+        owner_.labels_.erase(found->second.label);
+        open_.erase(found);
+    }
+
+    // ----- answers -----
+
     void finish(const std::string& tag, Reply&& reply) {
-        open_.erase(tag);
+        release(tag);
         if (reply.word == Reply::Word::served) {
+            strikes_ = 0;
             if (reply.payload.unchanged)
                 answer(tag, "SERVED", "keep=1", {});
             else
@@ -133,6 +314,9 @@
         } else {
             answer(tag, "ERR", "-", {});
         }
+        // Stores answer so what they can't use, such as ids that nobody knows.
+        if (reply.last == Outcome::error) strike();
+        endIfAnswered();
     }
 
     // A body goes out as it came in, without a copy.
@@ -154,8 +338,9 @@
 
     // A client that does not read its answers gets no further ones until it does.
     void settle() {
-        count(stream_.unsent());
-        stream_.pauseReading(stream_.unsent() > kClientBacklog);
+        count(stream_.unsent() + ahead_.size() + parser_.held());
+        if (ending_) return;
+        stream_.pauseReading(retired_ || !ahead_.empty() || stream_.unsent() > kClientBacklog);
     }
     void count(std::size_t unsent) {
         owner_.unsent_ += unsent;
@@ -165,9 +350,15 @@
 
     Front& owner_;
     net::RespParser parser_;
-    std::unordered_map<std::string, RequestId> open_;  // by tag
+    std::string ahead_;                           // read, and not yet taken
+    std::unordered_map<std::string, Call> open_;  // by tag
     std::size_t counted_ = 0;
-    bool used_ = false;
+    Micros connectedAt_, lastUsed_;
+    std::optional<net::Loop::TimerKey> watch_, resume_;
+    int strikes_ = 0;
+    bool used_ = false;     // a whole message has come
+    bool retired_ = false;  // nothing more is taken
+    bool ending_ = false;   // nor owed
     net::Stream stream_;
 };
 
@@ -201,7 +392,7 @@
 void Front::stopListening() { listener_.reset(); }
 
 void Front::accept(net::Descriptor fd) {
-    if (clients_.size() >= mostClients_ && !closeAnIdleClient()) {
+    if (clients_.size() >= mostClients_ && !makeRoom()) {
         ++counters_.turnedAway;
         return;
     }
@@ -210,14 +401,27 @@
     clients_[client.get()] = client;
 }
 
-// A connection without an open request may be closed; a client that does need it connects again.
-bool Front::closeAnIdleClient() {
-    const auto idle = std::find_if(clients_.begin(), clients_.end(),
-                                   [](const auto& entry) { return entry.second->resting(); });
-    if (idle == clients_.end()) return false;
-    ++counters_.closedIdle;
-    idle->second->abandon();
-    forget(idle->first);
+// Closed for a new one is, of those without an open request, first who has long said nothing since it
+// connected, then who was used longest ago (a client that does need it connects again), then who is merely
+// new. Connections that have not said a word hold at most half of the places, or a crowd of them would push
+// the others out.
+bool Front::makeRoom() {
+    Client *mute = nullptr, *resting = nullptr;
+    std::size_t fresh = 0;
+    for (const auto& [key, client] : clients_) {
+        const auto older = [&, c = client.get()](const Client* than) {
+            return !than || c->lastUsed() < than->lastUsed();
+        };
+        if (client->fresh()) ++fresh;
+        if (client->fresh() ? older(mute) && client->silent() : older(resting) && client->resting())
+            (client->fresh() ? mute : resting) = client.get();
+    }
+    const bool muteFirst = mute && (!resting || !mute->young() || 2 * fresh >= mostClients_);
+    Client* one = muteFirst ? mute : resting;
+    if (!one) return false;
+    ++(one == mute ? counters_.silent : counters_.closedIdle);
+    one->abandon();
+    forget(one);
     return true;
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "../core/requests.hpp"
 #include "../net/loop.hpp"
@@ -17,8 +18,8 @@
 class Front {
 public:
     struct Counters {
-        std::uint64_t connections = 0, turnedAway = 0, closedIdle = 0, malformed = 0, unusable = 0,
-                      noRoom = 0, checks = 0;
+        std::uint64_t connections = 0, turnedAway = 0, closedIdle = 0, silent = 0, halfMessages = 0,
+                      malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, checks = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration);
@@ -39,7 +40,7 @@
     class Client;
 
     void accept(net::Descriptor fd);
-    bool closeAnIdleClient();
+    bool makeRoom();
     bool roomForOne() const;
     void forget(Client* client);
     void takeLimits(const settings::Limits& limits);
@@ -56,6 +57,7 @@
     RequestId nextId_ = 1;
     std::unique_ptr<net::Listener> listener_;
     std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
+    std::unordered_set<std::string> labels_;  // of the open requests
     Counters counters_;
 };
 
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -12,8 +12,12 @@
                        {{"connections", f.connections},
                         {"turned_away", f.turnedAway},
                         {"closed_idle", f.closedIdle},
+                        {"silent", f.silent},
+                        {"half_messages", f.halfMessages},
                         {"malformed", f.malformed},
                         {"unusable", f.unusable},
+                        {"beyond_bound", f.beyondBound},
+                        {"retired", f.retired},
                         {"no_room", f.noRoom},
                         {"checks", f.checks},
                         {"clients", front_.clients()}});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -251,6 +251,145 @@
     assert(false);
 }
 
+void whatNoStoreCouldReadEndsAtTheEdge() {
+    Fleet fleet;
+    Mark pulled, go;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        go.await(1);
+        serving("first")(c, words);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    call(client, "1");
+    pulled.await(1);
+    const std::string id = "trace=00000000000000a1", object = ",entity=" + kEntity;
+    const std::string whole = id + object;
+    client.sendResp({"CALL", "2", "page", whole + ",patience=8000", ""});
+    const std::vector<std::string> bad = {
+        "-",                   // no id
+        "trace=xyz" + object,  // one that is none
+        id,                    // no object
+        whole,                 // the id of the open request, of another object or not
+        whole + "1",
+        "trace=00000000000000a2,entity=" + kEntity + ",patience=soon",
+        "trace=00000000000000a2,entity=" + kEntity + ",patience=-5",
+        "trace=00000000000000a2,entity=" + kEntity + ",patience=99999999999999999999",
+        "trace=00000000000000a2,entity=" + kEntity + ",block=-1",
+        "trace=00000000000000a2,entity=" + kEntity + ",family=256",
+        "trace=00000000000000a2,entity=" + kEntity + ",nonce=a+b\r\n",
+        "trace=00000000000000a2,entity=" + kEntity + ",cached=\xff"};
+    for (std::size_t i = 0; i < bad.size(); ++i) {
+        Connection other(program.port());
+        other.sendResp({"CALL", "1", "page", bad[i], ""});
+        assert((other.readResp() == std::vector<std::string>{"1", "ERR", "-", ""}));
+    }
+    Connection large(program.port());
+    large.sendResp({"CALL", "1", "page", "trace=00000000000000a3" + object, std::string(48'001, 'x')});
+    assert(large.readResp()[1] == "ERR");
+    assert(pulled.count() <= 2);
+    go.raise();
+    for (int i = 0; i < 2; ++i) assert(client.readResp()[1] == "SERVED");
+}
+
+void aSecondRequestUnderOneNumberLeavesTheFirstAlone() {
+    Fleet fleet;
+    Mark pulled, go;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        go.await(1);
+        serving("first")(c, words);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    call(client, "1");
+    call(client, "1");
+    pulled.await(1);
+    go.raise();
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "first"}));
+    assert(client.closed());  // one answer, and no more is taken from it
+    assert(pulled.count() == 1);
+}
+
+void whatIsOpenOnASpoiltConnectionIsAnsweredBeforeTheClose() {
+    Fleet fleet;
+    Mark pulled;
+    Peer cache(store([&](Connection&, const std::vector<std::string>&) { pulled.raise(); }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    for (const std::string noise : {"*1\r\n$-1\r\n", "*4\r\n$3000000000\r\n", "*999999999\r\n", "GET /"}) {
+        Connection client(program.port());
+        call(client, "1");
+        // Sent on without a stop: unread at the close, it would take back the answer.
+        client.send(noise + std::string(100'000, 'x'));
+        assert((client.readResp() == std::vector<std::string>{"1", "ERR", "-", ""}));
+        assert(client.closed());
+    }
+}
+
+void aBurstOfOneClientIsItsOwnTrouble() {
+    Fleet fleet;
+    Peer cache(store([](Connection& c, const std::vector<std::string>& w) {
+        if (w[3] == "usual") serving("here")(c, w);
+    }));
+    json wide = host("cache-1", cache.address());
+    wide["weight"] = 1000;  // its link holds all that comes
+    json settings = configuration(fleet.with({wide}));
+    settings["settings"]["weights"] = "nominal";
+    Program program(settings);
+    Connection greedy(program.port()), fickle(program.port()), usual(program.port());
+    for (int i = 1; i <= 400; ++i) call(greedy, std::to_string(i));
+    for (int i = 1; i <= 400; ++i) {
+        call(fickle, std::to_string(i));
+        fickle.sendResp({"CANCEL", std::to_string(i)});
+    }
+    call(usual, "1", "", "page", "usual");
+    assert(usual.readResp()[3] == "here");
+    const auto answer = greedy.readResp();
+    assert(answer[1] == "SHED" && !valueOf(answer[2], "pause").empty());
+    while (!fickle.readResp().empty()) {
+    }  // closed, as is the greedy one once its open requests are over
+    while (!greedy.readResp().empty()) {
+    }
+    call(usual, "2", "", "page", "usual");
+    assert(usual.readResp()[3] == "here");
+    program.signal(SIGTERM);
+    assert(program.exitCode() == 0);
+    assert(program.log().find("retired=2") != std::string::npos);
+}
+
+void silenceAndHalfMessagesEndAndAClientAtRestStays() {
+    Fleet fleet;
+    Program program(configuration(fleet.with({})));
+    Connection rests(program.port()), silent(program.port()), half(program.port()), later(program.port());
+    for (Connection* c : {&rests, &later}) {
+        c->sendResp({"CHECK", "1", ""});
+        assert(c->readResp()[1] == "PASS");
+    }
+    half.send("*3\r\n$5\r\nCHE");
+    later.send("*3\r\n$5\r\nCHE");
+    for (Connection* c : {&silent, &half, &later}) assert(c->closed());
+    rests.sendResp({"CHECK", "2", ""});
+    assert(rests.readResp()[1] == "PASS");
+}
+
+void aSilentCrowdKeepsNobodyOut() {
+    Fleet fleet;
+    json settings = configuration(fleet.with({}));
+    settings["limits"]["sockets"] = 64;  // 21 of them for clients
+    Program program(settings);
+    const std::uint16_t port = program.port();
+    Connection asked(port);
+    asked.sendResp({"CHECK", "1", ""});
+    assert(asked.readResp()[1] == "PASS");
+    std::vector<std::unique_ptr<Connection>> crowd;
+    for (int i = 0; i < 60; ++i) crowd.push_back(std::make_unique<Connection>(port));
+    Connection usual(port);
+    usual.sendResp({"CHECK", "1", ""});
+    assert(usual.readResp()[1] == "PASS");
+    asked.sendResp({"CHECK", "2", ""});
+    assert(asked.readResp()[1] == "PASS");
+}
+
 void theListIsReadOnThroughABusThatHangsUp() {
     Fleet fleet;
     Peer cache(store(serving("new")));
@@ -343,6 +482,12 @@
     descriptorsRunOutAndTheGatewayGoesOn();
     atAThirdOfTheDescriptorsAnIdleClientMakesRoom();
     aClientThatDoesNotReadCostsLittleMemory();
+    whatNoStoreCouldReadEndsAtTheEdge();
+    aSecondRequestUnderOneNumberLeavesTheFirstAlone();
+    whatIsOpenOnASpoiltConnectionIsAnsweredBeforeTheClose();
+    aBurstOfOneClientIsItsOwnTrouble();
+    silenceAndHalfMessagesEndAndAClientAtRestStays();
+    aSilentCrowdKeepsNobodyOut();
     theListIsReadOnThroughABusThatHangsUp();
     sighupTakesANewFileWholeAndKeepsTheOldOneElse();
     badConfigurationIsOneLineAndExitTwo();
