Learn sending times and links from answers where nothing tells them

Sizes are not told here, so an installer's sending time was taken for a quarter of its aim (45 ms, truly 150) and its aim for 270 ms in place of 480: answers in time counted as late, closed the gates and left hosts out.

Now the answer's bytes over the flow of the configuration tell the size (Decisions::report, learnFromAnswer); where that is not told, a hit does whose host had room. The aim is set anew by it, and a known object's next part starts with it. A host's link is at least what it served at a time (learnLink), and load is guarded by a link of 4 where less was learned.

--- a/include/lotuslead/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -139,6 +139,7 @@
     bool over = false;       // the request is closed
     bool blameless = false;  // it says nothing of its host that another end has not said
     Note note = Note::none;
+    double sizeKb = 0;  // of what was served; zero: not told, negative: no bytes, since the client had them
     LoadReport load;
 };
 
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -108,6 +108,10 @@
     ended.elapsed = report.elapsed;
     ended.note = report.note;
     ended.blameless = report.blameless;
+    if (report.unchanged)
+        ended.sizeKb = -1;
+    else if (words_.bytesPerKb > 0)
+        ended.sizeKb = static_cast<double>(report.bytes) / words_.bytesPerKb;
     ended.over = report.outcome == Outcome::served;
     if (ended.over) attempts_.erase(report.request);
     router_.handle(moduleTime(now), ended, actions_);
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -59,6 +59,8 @@
     Micros elapsed{};
     Note note = Note::none;
     bool blameless = false;
+    std::size_t bytes = 0;  // served
+    bool unchanged = false;
 };
 
 class Decisions {
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -33,13 +33,19 @@
     if (end.outcome == Outcome::served && purged_ == PurgedMeanwhile::fetchAnew &&
         decisions_.purgedSince(job.request, job.send.pickedAt))
         end.outcome = Outcome::notSent;
+    AttemptReport report;
+    report.outcome = end.outcome;
+    report.note = end.note;
+    report.blameless = end.blameless;
+    report.bytes = end.payload.body.size();
+    report.unchanged = end.payload.unchanged;
     if (end.outcome == Outcome::served && !job.answered) {
         Reply reply;
         reply.word = Reply::Word::served;
         reply.payload = std::move(end.payload);
         finish(job, std::move(reply));
     }
-    follow(now, close(now, job, end.outcome, end.note, end.blameless));
+    follow(now, close(now, job, report));
     forgetIfDone(end.request);
 }
 
@@ -50,7 +56,7 @@
         const auto [at, id, attempt] = *timeouts_.begin();
         Job& job = jobs_.at(id);
         const bool unwritten = carrier_.cancel(now, id, attempt);
-        follow(now, close(now, job, unwritten ? Outcome::notSent : Outcome::timedOut, Note::none));
+        follow(now, close(now, job, {.outcome = unwritten ? Outcome::notSent : Outcome::timedOut}));
         forgetIfDone(id);
     }
 }
@@ -78,7 +84,7 @@
             const bool unwritten = carrier_.cancel(now, verdict.request, verdict.attempt);
             ++counters_.cancelled;
             for (Verdict& next :
-                 close(now, job, unwritten ? Outcome::notSent : Outcome::cancelled, Note::none))
+                 close(now, job, {.outcome = unwritten ? Outcome::notSent : Outcome::cancelled}))
                 verdicts.push_back(std::move(next));
             forgetIfDone(verdict.request);
         } else if (job.answered) {
@@ -109,16 +115,18 @@
     carrier_.send(now, job.request, job.send);
 }
 
-std::vector<Verdict> Requests::close(Micros now, Job& job, Outcome outcome, Note note, bool blameless) {
+std::vector<Verdict> Requests::close(Micros now, Job& job, AttemptReport report) {
     job.out = false;
-    job.last = outcome;
+    job.last = report.outcome;
     const Micros until = job.send.timeout.count() > 0
                              ? std::min(job.request.deadline, job.sentAt + job.send.timeout)
                              : job.request.deadline;
     timeouts_.erase({until, job.request.id, job.send.attempt});
-    ++counters_.outcomes[static_cast<std::size_t>(outcome)];
-    return decisions_.report(now,
-                             {job.request.id, job.send.attempt, outcome, now - job.sentAt, note, blameless});
+    ++counters_.outcomes[static_cast<std::size_t>(report.outcome)];
+    report.request = job.request.id;
+    report.attempt = job.send.attempt;
+    report.elapsed = now - job.sentAt;
+    return decisions_.report(now, report);
 }
 
 void Requests::finish(Job& job, Reply&& reply) {
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -93,7 +93,7 @@
     void follow(Micros now, std::vector<Verdict> verdicts);
     void begin(Micros now, Job& job, Verdict&& send);
     void finish(Job& job, Reply&& reply);
-    std::vector<Verdict> close(Micros now, Job& job, Outcome outcome, Note note, bool blameless = false);
+    std::vector<Verdict> close(Micros now, Job& job, AttemptReport report);
     void forgetIfDone(RequestId request);
 
     Decisions& decisions_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,7 +44,7 @@
 constexpr double kOriginReturn = 1.2;  // earned by each that it answered in time: grows as long as it can
 constexpr double kSendSlack = 1.6;     // so much slower than at full pace an answer is not yet overdue
 constexpr double kFillSlack = 1.0;     // over a full link or host: more will come on it before this is done
-constexpr Time kRoundTrip = 60ms;      // beside the sending: way, queue and a parent's look
+constexpr double kRoundTrip = 0.15;    // of the aim, beside the sending: way, queue and a parent's look
 constexpr Time kRetryHint = 100ms;  // soon: the client's aim runs on, and a jam clears in parts of a second
 // The link into the zone: beyond full, each transfer slows down in proportion.
 constexpr double kReportWeight = 0.25;  // of one report in the running figure: reports are late and noisy
@@ -63,9 +63,12 @@
 constexpr double kColdShareOfPresent = 1.2;  // by the least it can have by now; most have more
 constexpr double kColdShareOfRule = 0.6;
 // Among many routers a part is less than one request: lots let single ones through.
-constexpr double kLotShare = 0.5;   // of the budget, since chance may favour several at once
-constexpr double kLotLeast = 8;     // requests that the whole budget must hold, or chance weighs too much
-constexpr double kGuessedLink = 2;  // transfers at a time, where the list has no measure: guessed low
+constexpr double kLotShare = 0.5;     // of the budget, since chance may favour several at once
+constexpr double kLotLeast = 8;       // requests that the whole budget must hold, or chance weighs too much
+constexpr double kGuessedLink = 2;    // transfers at a time, where nothing has been learned: guessed low
+constexpr double kLoadLink = 4;       // the same for the load that a host may have: too low and keys wander
+constexpr Time kServedSpan = 2s;      // over which what a host serves at a time is averaged
+constexpr double kServedSays = 0.75;  // of the most that it served: chance swings it, and the most is kept
 constexpr Time kTimerLeast = 1ms;
 constexpr Time kGoneFor = 5s;  // then the place of a host that has gone may be another's
 
@@ -86,12 +89,15 @@
     Time reportedAt = -1h;
     Time fullPaceAt = -1h;  // when an answer last came at full pace
     WindowSum coldWork;     // sent lately, in seconds of sending time
+    FadingRate served;      // transfers at a time, in what it answers here
+    double link = 0;        // the most of that: its link carries this much at least
     Time goneAt{};
 };
 
 struct ObjectRecord {
     std::int64_t lastPart = -1;
     bool manyViewers = false;
+    double work = 0;  // of one part, as last seen; zero: not known
     FadingRate bytes;
 };
 
@@ -104,7 +110,8 @@
     bool out = true;
     bool mayHaveRun = false;
     Tier reaches = Tier::caches;
-    bool slow = false;  // already counted as slow
+    bool slow = false;   // already counted as slow
+    bool alone = false;  // its host had room for it at full pace, so far as is known
 };
 
 struct Pending {
@@ -160,7 +167,6 @@
     Impl(Settings settings, std::uint64_t seed)
         : set_(std::move(settings)),
           meanWork_(set_.classes.size(), 0),
-          hitTime_(set_.classes.size(), 0),
           random_(mix(seed)),
           salt_(mix(seed + 1)) {}
 
@@ -174,7 +180,6 @@
     void reconfigure(Settings settings) {
         set_ = std::move(settings);
         meanWork_.resize(set_.classes.size(), 0);
-        hitTime_.resize(set_.classes.size(), 0);
         groupHosts();
     }
 
@@ -212,8 +217,10 @@
         p.request = request;
         p.arrived = now;
         const ClassSettings& c = set_.classes[static_cast<std::size_t>(request.classIndex)];
-        p.work = learnWork(request);
-        p.aim = std::min(request.deadline, now + c.aim + fromSeconds(c.aimStretch * p.work));
+        if (request.sizeKb > 0 && set_.paceKb > 0)
+            learnWork(request.classIndex, request.sizeKb / set_.paceKb);
+        p.work = guessWork(request);
+        setAim(p);
         if (!c.neverKept && !request.write && request.object != 0) lookUp(now, p, c);
         sendOrGiveUp(now, p, out);
     }
@@ -230,6 +237,7 @@
         a.mayHaveRun = mayHaveRun(e.outcome);
         takeReport(now, hosts_[a.host], e.load);
         passGates(a, -1);
+        if (e.outcome == Outcome::served) learnFromAnswer(p, a, e);
         tellGates(now, p, a, e);
         judge(now, p, a, e);
         if (e.over) finish(p, out);
@@ -335,38 +343,59 @@
             host.failures = 0;
             host.pause = kFirstPause;
         }
-        if (isNew) {
-            host.entry = entry;
-        } else {  // the name stays where it is: actions hold views of it
-            host.entry.role = entry.role;
-            host.entry.zone = entry.zone;
-            host.entry.cell = entry.cell;
-            host.entry.weight = entry.weight;
-            host.entry.startedAt = entry.startedAt;
-            if (entry.readiness == Readiness::gone) leave(now, host);
-            host.entry.readiness = entry.readiness;
-        }
+        if (entry.readiness == Readiness::gone) leave(now, host);
+        std::string name = isNew ? entry.name : std::move(host.entry.name);
+        host.entry = entry;
+        host.entry.name = std::move(name);  // the text stays where it is: actions hold views of it
         host.listed = entry.readiness == Readiness::ready;
     }
 
     // ----- the filter -----
 
-    double learnWork(const Request& r) {
+    double guessWork(const Request& r) const {
         const auto c = static_cast<std::size_t>(r.classIndex);
-        if (r.sizeKb <= 0 || set_.paceKb <= 0)
-            return meanWork_[c] > 0 ? meanWork_[c] : seconds(set_.classes[c].aim) / 4;
-        const double work = r.sizeKb / set_.paceKb;
-        meanWork_[c] = meanWork_[c] > 0 ? meanWork_[c] + 0.02 * (work - meanWork_[c]) : work;
-        return work;
+        if (r.sizeKb > 0 && set_.paceKb > 0) return r.sizeKb / set_.paceKb;
+        return meanWork_[c] > 0 ? meanWork_[c] : seconds(set_.classes[c].aim) / 4;
+    }
+
+    void learnWork(int classIndex, double work) {
+        double& mean = meanWork_[static_cast<std::size_t>(classIndex)];
+        mean = mean > 0 ? mean + 0.02 * (work - mean) : work;
+    }
+
+    void setAim(Pending& p) const {
+        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        p.aim = std::min(p.request.deadline, p.arrived + c.aim + fromSeconds(c.aimStretch * p.work));
+    }
+
+    // Where requests don't tell sizes the answers do: by their bytes, or by the time that a hit took where
+    // its host had room. A mean guessed low makes what is in time look late, and closes gates and hosts on
+    // it.
+    void learnFromAnswer(Pending& p, const Attempt& a, const AttemptEnded& e) {
+        if (p.request.sizeKb > 0 || e.sizeKb < 0) return;
+        const bool told = e.sizeKb > 0 && set_.paceKb > 0;
+        if (!told && (e.note != Note::hit || !a.alone)) return;
+        const double work = told ? e.sizeKb / set_.paceKb : seconds(e.elapsed);
+        learnWork(p.request.classIndex, work);
+        if (!told) return;
+        if (p.request.object != 0 && p.found) filter_.touch(p.request.object).first.work = work;
+        p.work = work;
+        setAim(p);
     }
 
-    void learnHitTime(int classIndex, double took) {
-        double& mean = hitTime_[static_cast<std::size_t>(classIndex)];
-        mean = mean > 0 ? mean + 0.02 * (took - mean) : took;
+    // What a host serves at a time, if all routers have as much there as this one, is no more than its link.
+    void learnLink(Time now, Host& host, double work) {
+        host.served.add(now, kServedSpan, work);
+        const double all = host.served.perSecond(now, kServedSpan) * sharers(host);
+        if (now - startedAt_ > kServedSpan) host.link = std::max(host.link, kServedSays * all);
     }
 
     void lookUp(Time now, Pending& p, const ClassSettings& c) {
         auto [record, found] = filter_.touch(p.request.object);
+        if (found && record.work > 0 && p.request.sizeKb <= 0) {
+            p.work = record.work;
+            setAim(p);
+        }
         // One viewer asks for the parts in turn; a part asked for again or from before is a second viewer's.
         if (found && !p.request.repeated && (!c.inParts || p.request.part <= record.lastPart))
             record.manyViewers = true;
@@ -386,9 +415,19 @@
         return std::max(1, set_.routersByZone[zone]);
     }
 
+    bool weightsTold() const { return set_.weights == Weights::nominal || set_.weights == Weights::rough; }
+    int sharers(const Host& host) const {
+        return host.entry.role == Role::cache ? routersHere() : std::max(1, set_.routers);
+    }
+
+    // As told, or as learned; a host that has not shown it has at least what the least of its group has.
     double linkOf(const Host& host) const {
-        const bool told = set_.weights == Weights::nominal || set_.weights == Weights::rough;
-        return told && host.entry.weight > 0 ? host.entry.weight : kGuessedLink;
+        if (weightsTold() && host.entry.weight > 0) return host.entry.weight;
+        if (host.link > kGuessedLink) return host.link;
+        double least = HUGE_VAL;
+        for (const HostIndex i : host.entry.role == Role::parent ? parents_ : caches_)
+            if (hosts_[i].link > 0) least = std::min(least, hosts_[i].link);
+        return least < HUGE_VAL ? std::max(kGuessedLink, least) : kGuessedLink;
     }
 
     double meanCacheLink() const {
@@ -401,7 +440,8 @@
 
     // Rendezvous hash, weighted by the links: the least comes first.
     double rank(HostIndex i, std::uint64_t key) const {
-        return -std::log(unitInterval(combine(key, hosts_[i].hash))) / linkOf(hosts_[i]);
+        return -std::log(unitInterval(combine(key, hosts_[i].hash))) /
+               (weightsTold() ? linkOf(hosts_[i]) : 1);
     }
 
     bool healthy(Time now, const Host& host) const {
@@ -434,7 +474,7 @@
         const double from = parent ? set_.parentColdFrom : set_.coldFrom;
         const double present = linkOf(host) * (from + (1 - from) * std::max(0.0, age) / seconds(warm));
         const double share = std::min(kColdShareOfPresent, kColdShareOfRule * multiple);
-        const int routers = parent ? std::max(1, set_.routers) : routersHere();
+        const int routers = sharers(host);
         const double budget = share * present * seconds(set_.fallWindow);
         const double used = host.coldWork.over(now, set_.fallWindow);
         if (used + work <= budget / routers) return true;
@@ -445,11 +485,11 @@
         return unitInterval(combine(combine(salt_, host.hash), turn)) < kLotShare * budget / (work * routers);
     }
 
-    // Where sizes are not told the mean is what hits took: a guess too low fills a cold host unseen.
+    // A guess too low fills a cold host unseen.
     double coldWeight(const Host& host, const Pending& p) const {
-        const auto c = static_cast<std::size_t>(p.request.classIndex);
-        const double mean = meanWork_[c] > 0 ? meanWork_[c] : std::max(p.work, hitTime_[c]);
-        return host.entry.role == Role::parent ? std::max(mean, p.work) : std::max(mean, 1e-3);
+        const double known = meanWork_[static_cast<std::size_t>(p.request.classIndex)];
+        const double mean = known > 0 ? known : p.work;
+        return std::max(mean, host.entry.role == Role::parent ? p.work : 1e-3);
     }
 
     bool usable(Time now, HostIndex i, const Pending& p, bool ignoreHealth) {
@@ -525,7 +565,12 @@
     bool linkInTime(Time now, const Pending& p) const {
         const double fill = zoneLinkFill(now);
         if (fill <= 1) return true;  // then a late answer still earns something and takes from nobody
-        return now + fromSeconds(p.work * kFillSlack * fill) + kRoundTrip <= p.aim;
+        return now + fromSeconds(p.work * kFillSlack * fill) + roundTrip(p) <= p.aim;
+    }
+
+    Time roundTrip(const Pending& p) const {
+        const Time aim = set_.classes[static_cast<std::size_t>(p.request.classIndex)].aim;
+        return fromSeconds(kRoundTrip * seconds(aim));
     }
 
     // Transfers at the host over those that its own link carries at full pace: what it says, if that is
@@ -533,9 +578,8 @@
     double fillOf(Time now, const Host& host) const {
         const double own = host.outstanding;
         const bool recent = now - host.reportedAt < kReportLasts;
-        const bool parent = host.entry.role == Role::parent;
-        const double guessed = own * (parent ? std::max(1, set_.routers) : routersHere());
-        return (recent ? std::max(own, host.reportedInFlight) : guessed) / linkOf(host);
+        const double guessed = own * sharers(host);
+        return (recent ? std::max(own, host.reportedInFlight) : guessed) / std::max(kLoadLink, linkOf(host));
     }
 
     // Whether the host can still answer in time. A host that takes on more serves all of them late: the rest
@@ -546,7 +590,7 @@
             return true;  // its link is not told; the gate and its allowance hold
         const double fill = fillOf(now, host);
         if (fill <= 1 || now - host.fullPaceAt < kPaceLasts) return true;
-        return now + fromSeconds(p.work * kFillSlack * fill) + kRoundTrip <= p.aim;
+        return now + fromSeconds(p.work * kFillSlack * fill) + roundTrip(p) <= p.aim;
     }
 
     // The ordinary path, and what is left of it when hosts are missing, sick or were tried already.
@@ -628,11 +672,11 @@
         const double bad = good ? 0 : silent ? kSilenceSays : 1;
         // Answers well in time open more than those that only just made it.
         const double spare = 1 - seconds(e.elapsed) / std::max(1e-3, seconds(p.aim - p.arrived));
-        if (good || atParent) tell(now, gates_[0], a, bad, spare);
-        if (!atParent) tell(now, gates_[1], a, bad, spare);
+        if (good || atParent) tell(now, gates_[0], p, a, bad, spare);
+        if (!atParent) tell(now, gates_[1], p, a, bad, spare);
     }
 
-    void tell(Time now, Gate& gate, const Attempt& a, double bad, double spare) {
+    void tell(Time now, Gate& gate, const Pending& p, const Attempt& a, double bad, double spare) {
         (bad > 0 ? gate.bad : gate.good).add(now, kGateSpan, bad > 0 ? bad : 1);
         const double badly = gate.bad.perSecond(now, kGateSpan) * seconds(kGateSpan);
         const double well = gate.good.perSecond(now, kGateSpan) * seconds(kGateSpan);
@@ -644,7 +688,7 @@
         }
         if (gate.window >= 1) return;
         const double spread = 0.5 + unitInterval(random_ = mix(random_ + 1));
-        const double took = seconds(std::max(kRoundTrip, now - a.sentAt));  // refusals may come at once
+        const double took = seconds(std::max(roundTrip(p), now - a.sentAt));  // refusals may come at once
         gate.closedUntil = now + fromSeconds(took * (1 / gate.window - 1) * spread);
     }
 
@@ -680,12 +724,13 @@
             if (source != route.host) chargeCold(now, hosts_[source], p);
         }
         chargeCold(now, host, p);
+        const bool alone = fillOf(now, host) < 1;
         ++host.outstanding;
         const int number = static_cast<int>(p.attempts.size());
         const Tier reaches = s.plain || (s.source != s.host && !route.sourceHeldOnly) ? Tier::origin
                              : route.sourceHeldOnly                                   ? Tier::parents
                                                                                       : Tier::caches;
-        p.attempts.push_back(Attempt{route.host, route.source, now, true, true, reaches});
+        p.attempts.push_back(Attempt{route.host, route.source, now, true, true, reaches, false, alone});
         passGates(p.attempts.back(), 1);
         out.push_back(s);
         armSlowTimer(now, p, number, out);
@@ -720,7 +765,7 @@
     // When another attempt must begin if it is to be in time for the aim.
     void armSlowTimer(Time now, const Pending& p, int attempt, Actions& out) {
         if (!set_.secondCopies && !set_.mayCancel) return;
-        const Time needed = fromSeconds(kSendSlack * p.work) + kRoundTrip;
+        const Time needed = fromSeconds(kSendSlack * p.work) + roundTrip(p);
         const Time at = std::max(now + needed, p.aim - needed);
         if (at + needed >= p.request.deadline) return;
         const TimerId timer = nextTimer_++;
@@ -825,12 +870,15 @@
         switch (e.outcome) {
             case Outcome::served: {
                 recordSuccess(a.host);
-                if (e.note == Note::hit) learnHitTime(p.request.classIndex, seconds(e.elapsed));
-                if (p.work > seconds(kRoundTrip) && seconds(e.elapsed - kRoundTrip) < kSendSlack * p.work)
+                if (const Time trip = roundTrip(p);
+                    p.work > seconds(trip) && seconds(e.elapsed - trip) < kSendSlack * p.work)
                     hosts_[a.host].fullPaceAt = now;
                 const bool fetched =
                     e.note == Note::filled || e.note == Note::filledByOrigin || e.note == Note::joined;
                 if (hasSource && fetched) recordSuccess(a.source);
+                if (e.sizeKb < 0) return;
+                learnLink(now, hosts_[a.host], p.work);
+                if (hasSource && fetched) learnLink(now, hosts_[a.source], p.work);
                 return;
             }
             case Outcome::cancelled:
@@ -910,7 +958,6 @@
     std::unordered_map<std::string, HostIndex> byName_;
     std::vector<HostIndex> caches_, parents_, origins_;  // ready ones; caches of the own zone
     std::vector<double> meanWork_;                       // per class, seconds of sending time
-    std::vector<double> hitTime_;                        // per class, fading mean of what hits took
     std::uint64_t random_;
     std::uint64_t salt_;  // fixed, for draws that must come out the same within a window
     LruMap<std::uint64_t, ObjectRecord> filter_{kFilterNames};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -350,6 +350,8 @@
     const json* info = valueAt(root, "settings");
     if (!info) throw Malformed("field 'settings' is missing");
     result.words = readSettings(*info);
+    if (result.words.settings.paceKb > 0)
+        result.words.bytesPerKb = numberOr(root, "flow_bytes_per_s", 0) / result.words.settings.paceKb;
     if (result.words.settings.classes.empty()) throw Malformed("field 'settings.categories' is empty");
     return result;
 }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -30,6 +30,7 @@
     Time connectTimeout{};  // zero: not told
     Time idleClose{};       // zero: not told
     int streamsPerConnection = 0;
+    double bytesPerKb = 0;  // on the sockets, for a KB of the settings; zero: not told
 
     Role roleOf(const std::string& shape) const;
     int zoneOf(const std::string& name) const;
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -102,8 +102,9 @@
     }
 
     void end(RequestId id, int attempt, Outcome outcome, Note note = Note::none,
-             std::optional<double> linkFill = std::nullopt, bool blameless = false) {
+             std::optional<double> linkFill = std::nullopt, bool blameless = false, double sizeKb = 0) {
         AttemptEnded e;
+        e.sizeKb = sizeKb;
         e.blameless = blameless;
         e.request = id;
         e.attempt = attempt;
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -36,6 +36,34 @@
     EXPECT_EQ(h.all<Send>().front().host, "c1");
 }
 
+// Sizes and links that nothing tells are learned from answers: what is in time must not look late.
+TEST(Learning, TheSizeOfAnAnswerSetsTheAimOfItsRequest) {
+    Settings settings = basicSettings();
+    settings.weights = Weights::none;
+    settings.classes[1].aim = 200ms;  // and twice the sending time; a quarter of it is the first guess
+    Harness h(settings);
+    h.usualList();
+    h.growUp(60);
+    const auto askAndEnd = [&](const std::string& object, Time took) {
+        const RequestId id = h.ask(object, 0, 1, 0);
+        h.now += took;
+        h.took = took;
+        h.end(id, 0, Outcome::served, Note::filledByOrigin, {}, false, 300);  // 300 ms to send
+        return id;
+    };
+    for (int i = 0; i < 60; ++i) askAndEnd("large" + std::to_string(i), 700ms);  // all within 200 + 600 ms
+    int sent = 0;
+    for (int i = 0; i < 60; ++i) {
+        const RequestId id = h.ask("next" + std::to_string(i), 0, 1, 0);
+        const auto send = h.one<Send>();
+        ASSERT_TRUE(send);
+        sent += send->source == send->host ? 0 : 1;  // else only what is held there is asked for
+        h.end(id, 0, Outcome::served, Note::filledByOrigin, {}, false, 300);
+        h.now += 10ms;
+    }
+    EXPECT_EQ(sent, 60);
+}
+
 // --- 1: exactly one answer, in time ---
 
 TEST(Answers, ServedOnceNeedsNoOther) {
