Leave a slow attempt where it is while its host answers others

Now a host that has answered anything since the attempt was sent has not gone silent; the attempt stays, and only its source is held to be slow.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -92,6 +92,7 @@
     FadingRate served;      // transfers at a time, in what it answers here
     double link = 0;        // the most of that: its link carries this much at least
     Time goneAt{};
+    Time heardAt = -1h;  // when it last gave an answer of any kind
 };
 
 struct ObjectRecord {
@@ -104,8 +105,7 @@
 enum class Tier { caches, parents, origin };  // how far up an attempt may reach
 
 struct Attempt {
-    HostIndex host = kNone;
-    HostIndex source = kNone;
+    HostIndex host = kNone, source = kNone;
     Time sentAt{};
     bool out = true;
     bool mayHaveRun = false;
@@ -119,24 +119,19 @@
     Time arrived{};
     Time aim{};       // when full worth ends
     double work = 0;  // seconds of sending time
-    bool found = false;
-    bool hot = false;
+    bool found = false, hot = false;
     int keepRank = 0;
-    bool answered = false;
-    bool streaming = false;
-    bool retryAfterCancel = false;
+    bool answered = false, streaming = false, retryAfterCancel = false;
     bool staleWillDo = false;  // something failed, or no fill is to be had
     std::vector<Attempt> attempts;
     std::vector<HostIndex> avoid;
-    int out() const {
-        return static_cast<int>(
-            std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; }));
+    auto out() const {
+        return std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
     }
 };
 
 struct Route {
-    HostIndex host = kNone;
-    HostIndex source = kNone;
+    HostIndex host = kNone, source = kNone;
     int keepRank = 0;
     bool sourceHeldOnly = false;
     bool ok() const { return host != kNone; }
@@ -146,8 +141,7 @@
 struct Gate {
     double window = kGateOpen;  // below one: one at a time, with pauses
     int out = 0;
-    Time cutAt = -1h;
-    Time closedUntil{};
+    Time cutAt = -1h, closedUntil{};
     FadingRate good, bad;
     bool open(Time now) const { return out < std::max(1.0, window) && (window >= 1 || now >= closedUntil); }
     bool tight(Time now) const { return now - cutAt < kGateSpan || !open(now); }
@@ -235,6 +229,7 @@
         a.out = false;
         --hosts_[a.host].outstanding;
         a.mayHaveRun = mayHaveRun(e.outcome);
+        if (saysSomething(e.outcome)) hosts_[a.host].heardAt = now;
         takeReport(now, hosts_[a.host], e.load);
         passGates(a, -1);
         if (e.outcome == Outcome::served) learnFromAnswer(p, a, e);
@@ -411,8 +406,8 @@
 
     int routersHere() const {
         const auto zone = static_cast<std::size_t>(set_.zone);
-        if (set_.zone < 0 || zone >= set_.routersByZone.size()) return std::max(1, set_.routers);
-        return std::max(1, set_.routersByZone[zone]);
+        const bool told = set_.zone >= 0 && zone < set_.routersByZone.size();
+        return std::max(1, told ? set_.routersByZone[zone] : set_.routers);
     }
 
     bool weightsTold() const { return set_.weights == Weights::nominal || set_.weights == Weights::rough; }
@@ -458,19 +453,17 @@
     bool isCold(Time now, const Host& host) const {
         const bool parent = host.entry.role == Role::parent;
         if (host.entry.role == Role::origin || host.entry.startedAt.count() <= 0) return false;
-        if ((parent ? set_.parentFallMultiple : set_.fallMultiple) <= 0) return false;
-        return now - host.entry.startedAt < (parent ? set_.parentWarmWithin : set_.warmWithin);
+        return (parent ? set_.parentFallMultiple : set_.fallMultiple) > 0 &&
+               now - host.entry.startedAt < (parent ? set_.parentWarmWithin : set_.warmWithin);
     }
 
     // The rule on cold hosts is a budget over every window, for all routers together; each keeps to its part.
     bool coldRoom(Time now, Host& host, double work) const {
+        if (!isCold(now, host)) return true;
         const bool parent = host.entry.role == Role::parent;
         const Time warm = parent ? set_.parentWarmWithin : set_.warmWithin;
         const double multiple = parent ? set_.parentFallMultiple : set_.fallMultiple;
-        if (host.entry.role == Role::origin || host.entry.startedAt.count() <= 0 || multiple <= 0)
-            return true;
         const double age = seconds(now - host.entry.startedAt);
-        if (age >= seconds(warm)) return true;
         const double from = parent ? set_.parentColdFrom : set_.coldFrom;
         const double present = linkOf(host) * (from + (1 - from) * std::max(0.0, age) / seconds(warm));
         const double share = std::min(kColdShareOfPresent, kColdShareOfRule * multiple);
@@ -777,10 +770,14 @@
         Attempt& a = p.attempts[static_cast<std::size_t>(number)];
         if (p.answered || p.streaming || !a.out) return;
 
+        // It answers others: its fill is slow, and one begun anew would be slower.
+        // A host that answers others has not gone silent: its fill is slow, and one begun anew is slower
+        // still and loads the tiers above twice.
+        const bool alive = hosts_[a.host].heardAt > a.sentAt;
         a.slow = true;
-        recordFailure(now, a.host, kSlowIsFailure);
+        if (!alive) recordFailure(now, a.host, kSlowIsFailure);
         if (a.source != kNone && a.source != a.host) recordFailure(now, a.source, kSlowIsFailure);
-        if (static_cast<int>(p.attempts.size()) >= set_.mostTries || p.out() > 1) return;
+        if (alive || static_cast<int>(p.attempts.size()) >= set_.mostTries || p.out() > 1) return;
         if (set_.classes[static_cast<std::size_t>(p.request.classIndex)].effect != Effect::safe) return;
         avoid(p, a.host);
         if (a.source != kNone) avoid(p, a.source);
@@ -798,6 +795,10 @@
                o != Outcome::noCopy;
     }
 
+    static bool saysSomething(Outcome o) {
+        return o == Outcome::served || o == Outcome::noCopy || o == Outcome::error || o == Outcome::notTaken;
+    }
+
     static void avoid(Pending& p, HostIndex i) {
         if (std::count(p.avoid.begin(), p.avoid.end(), i) == 0) p.avoid.push_back(i);
     }
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -64,6 +64,33 @@
     EXPECT_EQ(sent, 60);
 }
 
+TEST(Slow, AnAttemptIsNotBegunAnewWhileItsHostAnswersOthers) {
+    for (const bool answers : {true, false}) {
+        Settings settings = basicSettings();
+        settings.secondCopies = false;
+        Harness h(settings);
+        h.usualList();
+        h.growUp();
+        h.know("a");
+        const RequestId slow = h.ask("a");
+        const auto timer = h.one<SetTimer>();
+        ASSERT_TRUE(timer);
+        const std::string host(h.one<Send>()->host);
+        for (int i = 0; answers; ++i) {  // until the same host has answered another
+            const RequestId other = h.ask("b" + std::to_string(i));
+            const bool same = h.one<Send>()->host == host;
+            h.now += 1ms;
+            h.end(other, 0, Outcome::served, Note::hit);
+            if (same) break;
+            h.know("b" + std::to_string(i + 1));
+        }
+        h.now += timer->delay;
+        h.fire(timer->timer);
+        EXPECT_EQ(h.all<Cancel>().size(), answers ? 0u : 1u);
+        h.end(slow, 0, Outcome::served);
+    }
+}
+
 // --- 1: exactly one answer, in time ---
 
 TEST(Answers, ServedOnceNeedsNoOther) {
