Check an answer against its request before it is passed on, and refuse on retired connections

A connection retired for useless messages was not read until its open requests ended; a usual client's further request there would have been lost at the close, so such a connection is read on and refuses. The event bus's answers are held to 1 MB, and an answer that can't be used is told once, not at every try.

Two stories, each seen to fail before.

--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -15,7 +15,7 @@
 constexpr net::Micros kSilent = 500ms;  // beyond the hold: the bus or the way to it has gone
 constexpr net::Micros kConnect = 400ms;
 constexpr net::Micros kBetween = 50ms;  // from the second failure on: at once would be a busy loop
-constexpr net::HttpParser::Limits kLimits{16 * 1024, 8 * 1024 * 1024};
+constexpr net::HttpParser::Limits kLimits{16 * 1024, 1024 * 1024};  // parsed, it takes several times as much
 
 }  // namespace
 
@@ -93,7 +93,7 @@
     try {
         take(settings::readBatch(nlohmann::json::parse(parser_.body())));
     } catch (const std::exception& problem) {
-        std::fprintf(stderr, "event bus: cannot use its answer: %s\n", problem.what());
+        if (failures_ == 0) std::fprintf(stderr, "event bus: cannot use its answer: %s\n", problem.what());
         return false;
     }
     failures_ = 0;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -68,11 +68,9 @@
     }
     ~Client() override { abandon(); }
 
-    bool idle() const { return open_.empty() && stream_.unsent() == 0; }
+    bool idle() const { return open_.empty() && ahead_.empty() && stream_.unsent() == 0; }
     // Idle, has been used, and nothing of a further call has come, read or unread.
-    bool resting() const {
-        return idle() && used_ && !retired_ && ahead_.empty() && !parser_.midMessage() && stream_.quiet();
-    }
+    bool resting() const { return idle() && used_ && !retired_ && !parser_.midMessage() && stream_.quiet(); }
     bool silent() const { return !used_ && ahead_.empty() && !parser_.midMessage() && stream_.quiet(); }
     bool fresh() const { return !used_; }
     bool young() const { return owner_.loop_.now() - connectedAt_ < kSilentYoung; }
@@ -111,24 +109,25 @@
     // A share of the turn for each client: a burst of one waits in its own connection, not in the others'
     // way.
     void takeMessages() {
-        if (stream_.closed() || retired_) return;
+        if (stream_.closed() || ending_) return;
         std::string_view rest = ahead_;
         bool fits = true;
-        for (int left = kMessagesATurn; left > 0 && fits && !rest.empty() && !retired_;) {
+        for (int left = kMessagesATurn; left > 0 && fits && !rest.empty() && !ending_;) {
             const auto status = parser_.feed(rest);
             fits = status != net::RespParser::Status::malformed;
             if (status != net::RespParser::Status::message) continue;
             --left;
             fits = take(parser_.take());
         }
-        if (stream_.closed()) return;
-        if (!fits && !retired_) return spoilt();
-        ahead_.erase(0, retired_ ? ahead_.size() : ahead_.size() - rest.size());
+        if (stream_.closed() || ending_) return;
+        if (!fits) return spoilt();
+        ahead_.erase(0, ahead_.size() - rest.size());
         if (!ahead_.empty() && !resume_)
             resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
                 resume_.reset();
                 takeMessages();
             });
+        endIfAnswered();
         watchMessage();
         settle();
     }
@@ -137,18 +136,16 @@
     // read it.
     void spoilt() {
         ++owner_.counters_.malformed;
-        retire();
+        retired_ = true;
         failOpen();
         endIfAnswered();
     }
-    // Nothing more is taken from it; what is open keeps its own answer.
+    // What still comes is refused, and what is open keeps its own answer; then the connection ends. It is
+    // read on until then: a request left unread would be lost.
     void retire() {
         if (std::exchange(retired_, true)) return;
-        ahead_.clear();
         const Micros until = connectedAt_ + kFirstMessage - owner_.loop_.now();
         watch(std::max(until, Micros{kGentle}));
-        stream_.pauseReading(true);
-        endIfAnswered();
     }
     void failOpen() {
         while (!open_.empty()) {
@@ -161,6 +158,7 @@
     void endIfAnswered() {
         if (!retired_ || !open_.empty() || std::exchange(ending_, true)) return;
         stopWatch();
+        ahead_.clear();
         stream_.closeGently(kGentle);
     }
     // Useless messages in a row: nothing is gained by reading on.
@@ -194,7 +192,7 @@
             if (!ahead_.empty() || stream_.unsent() > kClientBacklog)
                 return watch(kHalfMessage);  // it waits for us
             ++(used_ ? owner_.counters_.halfMessages : owner_.counters_.silent);
-            retire();
+            retired_ = true;
             failOpen();
             endIfAnswered();
         });
@@ -236,9 +234,10 @@
             retire();
             return true;
         }
-        if (open_.size() >= kOpenAConnection) {
+        if (retired_ || open_.size() >= kOpenAConnection) {
             ++owner_.counters_.beyondBound;
-            shed(tag);
+            answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+            strike();
             return true;
         }
         const Fields fields(words.size() > 3 ? std::string_view(words[3]) : std::string_view{});
@@ -281,10 +280,6 @@
         return true;
     }
 
-    void shed(const std::string& tag) {
-        answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
-        strike();
-    }
     void release(const std::string& tag) {
         const auto found = open_.find(tag);
         if (found == open_.end()) return;
@@ -334,7 +329,7 @@
     void settle() {
         count(stream_.unsent() + ahead_.size() + parser_.held());
         if (ending_) return;
-        stream_.pauseReading(retired_ || !ahead_.empty() || stream_.unsent() > kClientBacklog);
+        stream_.pauseReading(!ahead_.empty() || stream_.unsent() > kClientBacklog);
     }
     void count(std::size_t unsent) {
         owner_.unsent_ += unsent;
@@ -351,8 +346,8 @@
     std::optional<net::Loop::TimerKey> watch_, resume_;
     int strikes_ = 0;
     bool used_ = false;     // a whole message has come
-    bool retired_ = false;  // nothing more is taken
-    bool ending_ = false;   // nor owed
+    bool retired_ = false;  // what still comes is refused
+    bool ending_ = false;   // nothing is owed any more
     net::Stream stream_;
 };
 
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -29,6 +29,7 @@
                         {"stalled", s.stalled},
                         {"stuck", s.stuck},
                         {"moved_on", s.movedOn},
+                        {"too_old", s.tooOld},
                         {"late_answers", s.lateAnswers},
                         {"held_back", s.heldBack},
                         {"connections", carrier_.connections()},
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <optional>
 
+#include "../core/service.hpp"
 #include "../support/hash.hpp"
 #include "fields.hpp"
 
@@ -177,6 +178,8 @@
         RequestId request;
         int attempt;
         Micros writtenAt;
+        bool known;                  // the client's copy was named
+        std::int64_t leastMintedMs;  // a copy made before is too old; Unix time
     };
 
     void streamOpened() override {
@@ -229,13 +232,19 @@
         }
         if (!outcome) return false;
         const Fields fields(words.size() > 2 ? std::string_view(words[2]) : std::string_view{});
-        if (*outcome == Outcome::served && !whole(words, fields)) return false;
+        if (*outcome == Outcome::served && !whole(words, fields, found->second)) return false;
         AttemptEnd end;
         end.request = found->second.request;
         end.attempt = found->second.attempt;
         end.outcome = *outcome;
         end.note = noteOf(fields.text("remark"));
-        if (*outcome == Outcome::served) {
+        if (*outcome == Outcome::served &&
+            fields.whole("minted").value_or(found->second.leastMintedMs) < found->second.leastMintedMs) {
+            // Passed on, it would be an answer from before a purge.
+            ++owner_.counters_.tooOld;
+            end.outcome = Outcome::noCopy;
+        }
+        if (end.outcome == Outcome::served) {
             end.payload.unchanged = words[1] == "current";
             if (words.size() > 3) end.payload.body = std::move(words[3]);
         }
@@ -250,9 +259,9 @@
     }
 
     // Looked at before it is passed on: what has lost its bytes or its age on the way is no answer.
-    static bool whole(const std::vector<std::string>& words, const Fields& fields) {
-        if (words.size() < 3) return false;
-        if (words.size() > 3 && words[3].size() > kLargestAnswer) return false;
+    static bool whole(const std::vector<std::string>& words, const Fields& fields, const Sent& sent) {
+        if (words.size() < 4 || words[3].size() > kLargestAnswer) return false;
+        if (words[1] == "current" && (!sent.known || !words[3].empty())) return false;
         const std::string_view tag = fields.text("tag"), minted = fields.text("minted");
         return (tag.empty() || isHex(tag, 16)) &&
                (minted.empty() || fields.whole("minted").value_or(-1) >= 0);
@@ -271,7 +280,8 @@
             }
             const core::Request& request = *next.request;
             if (out_.empty()) waitsSince_ = now;
-            out_[request.label] = {next.send.request, next.send.attempt, now};
+            out_[request.label] = {next.send.request, next.send.attempt, now, !request.known.empty(),
+                                   owner_.leastMintedMs(next.send.oldest)};
             std::string words;
             const std::string fields = fieldsOf(request, next.send, waited);
             net::appendResp(words, {"PULL", request.label, fields, request.body});
@@ -338,7 +348,8 @@
     net::Stream stream_;
 };
 
-Stores::Stores(net::Loop& loop, const settings::Configuration& configuration) : loop_(loop) {
+Stores::Stores(net::Loop& loop, const settings::Configuration& configuration)
+    : loop_(loop), unixAhead_(core::unixAhead(loop.now())) {
     reconfigure(configuration);
 }
 
@@ -427,6 +438,12 @@
     }
 }
 
+std::int64_t Stores::leastMintedMs(Micros oldest) const {
+    constexpr Micros kAsTold = 50ms;  // the age is told in whole milliseconds, and clocks are read apart
+    if (oldest.count() <= 0) return 0;
+    return (loop_.now() + unixAhead_ - oldest - kAsTold).count() / 1000;
+}
+
 void Stores::answered(const std::string& host, Micros writtenAt) {
     const auto found = stores_.find(host);
     if (found != stores_.end())
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -23,7 +23,7 @@
     };
     struct Counters {
         std::uint64_t connects = 0, connectFailures = 0, resets = 0, malformed = 0, stalled = 0, stuck = 0,
-                      movedOn = 0, lateAnswers = 0, heldBack = 0;
+                      movedOn = 0, tooOld = 0, lateAnswers = 0, heldBack = 0;
     };
 
     Stores(net::Loop& loop, const settings::Configuration& configuration);
@@ -66,7 +66,10 @@
     void drop(const std::string& host, Link* link);
     void dropAll(Store& store);
 
+    std::int64_t leastMintedMs(core::Micros oldest) const;
+
     net::Loop& loop_;
+    core::Micros unixAhead_;
     core::Micros connectTimeout_{}, idleClose_{};
     std::size_t streams_ = 0;
     Callbacks callbacks_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -476,6 +476,55 @@
     assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "the real one"}));
 }
 
+void anAnswerThatDoesNotFitItsRequestIsNotPassedOn() {
+    Fleet fleet;
+    const std::vector<std::vector<std::string>> spoilt = {
+        {"current", "tag=4be0c1927d55a6f3,minted=1", ""},                    // the client has no copy
+        {"ok", "tag=4be0c1927d55a6f3,minted=1"},                             // cut off
+        {"ok", "tag=#!,minted=1", "body"},                                   // noise
+        {"ok", "tag=4be0c1927d55a6f3,minted=soon", "body"},                  // no time
+        {"ok", "tag=4be0c1927d55a6f3,minted=1", std::string(240'001, 'x')},  // longer than any object
+        {"what", "-", ""}};
+    std::atomic<std::size_t> count{0};
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        const std::size_t at = count++;
+        if (at >= spoilt.size()) return serving("whole")(c, words);
+        std::vector<std::string> answer = {words[1]};
+        answer.insert(answer.end(), spoilt[at].begin(), spoilt[at].end());
+        c.sendResp(answer);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    Connection client(program.port());
+    for (int i = 1; i <= 100; ++i) {
+        call(client, std::to_string(i));
+        const auto answer = client.readResp();
+        if (answer[1] == "SERVED") assert(answer[3] == "whole");
+        if (answer[1] == "SERVED" && count > spoilt.size()) break;
+        std::this_thread::sleep_for(100ms);  // the store may be left out for a moment
+    }
+    assert(count > spoilt.size());
+    program.signal(SIGTERM);
+    assert(program.exitCode() == 0);
+    assert(program.log().find(" malformed=6 ") != std::string::npos);
+}
+
+void aCopyFromBeforeAPurgeIsNotPassedOn() {
+    Fleet fleet;
+    Bus bus;
+    Peer cache(store(serving("from before")));  // minted in 2025
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["bus"] = bus.address();
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1");
+    assert(client.readResp()[3] == "from before");
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    bus.tell({{"ban", {{"url", kEntity}, {"ts", now.count()}}}});
+    call(client, "2");
+    assert(client.readResp()[1] != "SERVED");
+}
+
 void storesThatAreGoneLeaveNothingBehind() {
     Fleet fleet;
     Peer cache(store(serving("here")));
@@ -599,6 +648,8 @@
     anAnswerThatStopsShortEndsItsConnection();
     anAnswerThatNeverComesIsNotWaitedForBehind();
     aSecondCopyIsNotTheAnswerToAFurtherAttempt();
+    anAnswerThatDoesNotFitItsRequestIsNotPassedOn();
+    aCopyFromBeforeAPurgeIsNotPassedOn();
     storesThatAreGoneLeaveNothingBehind();
     theListIsReadOnThroughABusThatHangsUp();
     sighupTakesANewFileWholeAndKeepsTheOldOneElse();
