Ask silent connections for an echo and end those that give none

Pages behind it were marked slow, the store was left out, and since it was left out no later answer came by another connection, which was the only proof that Stores::retireStuck took; nor could it have a trial, with requests still out there. It ended by time-outs of 3 s and more. The requests ended with one connection then shared the allowance for further attempts, of which 15 to 34 found nothing left.

Now a connection that says nothing for 0.3 s while answers are due is asked for an ECHO (a probe, where the settings allow it) and ended 0.2 s later without one. What ended with another's connection goes again without the allowance, and to the same store if that has answered since. An answer may take 3 s in all, however steadily it comes.

Ruled out: the event bus (silent once, for 1.5 s), memory, the gates (open throughout). Story: aSilentConnectionIsAskedForAnEcho.

--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -27,6 +27,7 @@
                         {"resets", s.resets},
                         {"malformed", s.malformed},
                         {"stalled", s.stalled},
+                        {"echoes", s.echoes},
                         {"stuck", s.stuck},
                         {"moved_on", s.movedOn},
                         {"too_old", s.tooOld},
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -21,9 +21,11 @@
 constexpr std::size_t kStreams = 100;
 // With attempts out and not a byte: the machine may be gone without a word, or an answer has stopped the
 // connection. New attempts go by another one then.
-constexpr Micros kSilence = 400ms;
+constexpr Micros kSilence = 300ms;
+constexpr Micros kEchoWait = 200ms;  // an ECHO is answered beside the queue, if the connection still carries
 constexpr Micros kStuck = 800ms;  // and those out are given up, if others that were sent later were answered
 constexpr Micros kStalled = 300ms;         // within an answer: answers come whole, or not at all
+constexpr Micros kLongAnswer = 3s;         // from its first byte to its last, however steadily it comes
 constexpr std::size_t kMostLinks = 6;      // to one store
 constexpr std::size_t kLastAnswered = 64;  // whose second copies a connection knows
 constexpr std::size_t kLargestAnswer = 240'000;
@@ -98,7 +100,8 @@
     }
     ~Link() override {
         stopTimer();
-        stopStallTimer();
+        stop(stallTimer_);
+        stop(silenceTimer_);
     }
 
     bool usable() const { return !ended_ && !shunned_; }
@@ -150,7 +153,8 @@
     void fail(Outcome whenWritten, Verdict verdict, bool moveOn = false) {
         if (std::exchange(ended_, true)) return;
         stopTimer();
-        stopStallTimer();
+        stop(stallTimer_);
+        stop(silenceTimer_);
         stream_.close();
         const auto self = shared_from_this();
         bool blameless = verdict == Verdict::none;
@@ -203,14 +207,42 @@
         lastByte_ = owner_.loop_.now();
         heard_ = true;
         const bool fits = takeMessages(data);
-        stopStallTimer();
-        if (fits && !ended_ && parser_.midMessage())
-            stallTimer_ = owner_.loop_.after(kStalled, [this] {
-                stallTimer_.reset();
-                ++owner_.counters_.stalled;
-                fail(Outcome::broken, Verdict::none, true);
-            });
-        return fits;
+        stop(stallTimer_);
+        if (!fits || ended_ || !parser_.midMessage()) {
+            half_.reset();
+            return fits;
+        }
+        if (!half_) half_ = lastByte_;
+        const Micros wait = std::min(kStalled, std::max(Micros{0}, *half_ + kLongAnswer - lastByte_));
+        stallTimer_ = owner_.loop_.after(wait, [this] {
+            stallTimer_.reset();
+            ++owner_.counters_.stalled;
+            fail(Outcome::broken, Verdict::none, true);
+        });
+        return true;
+    }
+
+    // A machine that is gone or cut off never resets its connections, and an answer that never comes can hold
+    // back all that was sent behind it. So a connection that says nothing while answers are due is asked for
+    // an echo.
+    void watchSilence(Micros wait) {
+        silenceTimer_ = owner_.loop_.after(wait, [this] {
+            silenceTimer_.reset();
+            if (out_.empty()) return;
+            const Micros left = kSilence - silentFor();
+            if (left.count() > 0) return watchSilence(left);
+            if (echoAt_ > waitsSince()) {
+                ++owner_.counters_.stuck;
+                return fail(Outcome::broken, Verdict::one, true);
+            }
+            if (!owner_.mayProbe_) return watchSilence(kSilence);
+            ++owner_.counters_.echoes;
+            echoAt_ = owner_.loop_.now();
+            std::string words;
+            net::appendResp(words, {"ECHO", std::to_string(++owner_.lastEcho_)});
+            stream_.write(std::move(words));
+            watchSilence(kEchoWait);
+        });
     }
     bool takeMessages(std::string_view data) {
         while (!data.empty()) {
@@ -225,7 +257,8 @@
         if (words.size() < 2 || words.size() > 4) return false;
         const auto outcome = outcomeOf(words[1]);
         const auto found = out_.find(words[0]);
-        if (found == out_.end()) {  // of an attempt given up, whose end was on its way already
+        if (found == out_.end()) {  // an echo, or of an attempt given up, whose end was on its way already
+            if (words[1] == "yes" || words[1] == "no") return true;
             given_.erase(words[0]);
             ++owner_.counters_.lateAnswers;
             return true;
@@ -280,6 +313,7 @@
             }
             const core::Request& request = *next.request;
             if (out_.empty()) waitsSince_ = now;
+            if (!silenceTimer_) watchSilence(kSilence);
             out_[request.label] = {next.send.request, next.send.attempt, now, !request.known.empty(),
                                    owner_.leastMintedMs(next.send.oldest)};
             std::string words;
@@ -318,9 +352,9 @@
             fail(Outcome::broken, Verdict::none, true);
         });
     }
-    void stopStallTimer() {
-        if (stallTimer_) owner_.loop_.cancel(*stallTimer_);
-        stallTimer_.reset();
+    void stop(std::optional<net::Loop::TimerKey>& timer) {
+        if (timer) owner_.loop_.cancel(*timer);
+        timer.reset();
     }
     void stopIdleTimer() {
         if (stream_.opened()) stopTimer();
@@ -341,7 +375,9 @@
     std::vector<std::uint64_t> answered_;            // fingerprints of the last ones
     std::size_t nextAnswered_ = 0;
     net::Loop::TimerKey timer_{};
-    std::optional<net::Loop::TimerKey> stallTimer_;
+    std::optional<net::Loop::TimerKey> stallTimer_, silenceTimer_;
+    std::optional<Micros> half_;  // when the first byte of the answer in hand came
+    Micros echoAt_{};             // when one was last asked for
     bool timed_ = false;
     bool ended_ = false;
     bool shunned_ = false;  // silent too long: no new attempt goes here
@@ -362,6 +398,7 @@
         connectTimeout_ = std::chrono::duration_cast<Micros>(words.connectTimeout);
     if (words.idleClose.count() > 0)
         idleClose_ = std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10;
+    mayProbe_ = words.settings.mayProbe;
     if (words.streamsPerConnection > 0) streams_ = static_cast<std::size_t>(words.streamsPerConnection);
 }
 
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -22,8 +22,8 @@
         std::function<void(core::AttemptEnd)> ended;
     };
     struct Counters {
-        std::uint64_t connects = 0, connectFailures = 0, resets = 0, malformed = 0, stalled = 0, stuck = 0,
-                      movedOn = 0, tooOld = 0, lateAnswers = 0, heldBack = 0;
+        std::uint64_t connects = 0, connectFailures = 0, resets = 0, malformed = 0, stalled = 0, echoes = 0,
+                      stuck = 0, movedOn = 0, tooOld = 0, lateAnswers = 0, heldBack = 0;
     };
 
     Stores(net::Loop& loop, const settings::Configuration& configuration);
@@ -72,6 +72,8 @@
     core::Micros unixAhead_;
     core::Micros connectTimeout_{}, idleClose_{};
     std::size_t streams_ = 0;
+    bool mayProbe_ = false;
+    std::uint64_t lastEcho_ = 0;
     Callbacks callbacks_;
     Counters counters_;
     std::unordered_map<std::string, Store> stores_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -240,7 +240,7 @@
             if (a.reaches != Tier::origin && e.outcome == Outcome::noCopy)
                 sendOrGiveUp(now, p, out);  // only now is it known to need a fill
             else if (e.outcome != Outcome::cancelled || p.retryAfterCancel)
-                retryOrGiveUp(now, p, out);
+                retryOrGiveUp(now, p, e.blameless, out);
             else
                 giveUp(now, p, out);
         }
@@ -639,9 +639,8 @@
 
     // Puts an outcome down to the tier that it speaks of: the highest that was asked, so far as is known.
     // Guards, without knowing which, against an origin that is slow, refuses or has stopped, parents that are
-    // jammed, cold or dead, and refills after a purge. Answers that never come say little while others do
-    // come in time. Harm: when many are late by chance the gates close a little; hits at the caches pass
-    // none.
+    // jammed, cold or dead, and refills after a purge. Answers that never come say little while others do.
+    // Harm: when many are late by chance the gates close a little; hits at the caches pass none.
     void tellGates(Time now, const Pending& p, const Attempt& a, const AttemptEnded& e) {
         if (a.reaches == Tier::caches || e.outcome == Outcome::notSent || e.blameless) return;
         if (hosts_[a.host].entry.role == Role::cache) {
@@ -803,8 +802,8 @@
         if (std::count(p.avoid.begin(), p.avoid.end(), i) == 0) p.avoid.push_back(i);
     }
 
-    void retryOrGiveUp(Time now, Pending& p, Actions& out) {
-        if (!p.retryAfterCancel && !extra_.spend()) return giveUp(now, p, out);
+    void retryOrGiveUp(Time now, Pending& p, bool blameless, Actions& out) {
+        if (!p.retryAfterCancel && !blameless && !extra_.spend()) return giveUp(now, p, out);
         p.retryAfterCancel = false;
         p.staleWillDo = true;
         sendOrGiveUp(now, p, out);
@@ -890,6 +889,8 @@
                 return;
             case Outcome::noConnection:
             case Outcome::broken:
+                if (e.blameless && hosts_[a.host].heardAt > a.sentAt)
+                    return;  // by another connection, at once
                 return blame(now, p, a.host, e.blameless ? 0 : 1);
             default:
                 break;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -456,6 +456,39 @@
     assert((client.readResp() == std::vector<std::string>{"2", "SERVED", "-", "well"}));
 }
 
+void aSilentConnectionIsAskedForAnEcho() {
+    for (const bool carries : {true, false}) {
+        Fleet fleet;
+        Mark echoed;
+        std::atomic<int> kills{0};
+        Peer cache([&](Connection& c) {
+            std::vector<std::string> pull;
+            for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+                if (words[0] == "PULL") pull = words;
+                if (words[0] == "KILL") ++kills;
+                if (words[0] != "ECHO") continue;
+                if (carries) {
+                    c.sendResp({words[1], "yes", "-", ""});
+                    serving("slow, but here")(c, pull);
+                }
+                echoed.raise();
+            }
+        });
+        json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+        settings["settings"]["allowed"]["mayProbe"] = true;
+        Program program(settings);
+        Connection client(program.port());
+        call(client, "1");
+        const auto answer = client.readResp();
+        assert(answer[1] == (carries ? "SERVED" : "SHED"));
+        echoed.await(1);
+        program.signal(SIGTERM);
+        assert(program.exitCode() == 0);
+        assert(kills == 0);  // without an echo it was closed, not given up request by request
+        assert(program.log().find(carries ? " stuck=0 " : " stuck=1 ") != std::string::npos);
+    }
+}
+
 void aSecondCopyIsNotTheAnswerToAFurtherAttempt() {
     Fleet fleet;
     std::atomic<int> pulls{0};
@@ -647,6 +680,7 @@
     resetsOfNewConnectionsAreNoVerdictOnTheStore();
     anAnswerThatStopsShortEndsItsConnection();
     anAnswerThatNeverComesIsNotWaitedForBehind();
+    aSilentConnectionIsAskedForAnEcho();
     aSecondCopyIsNotTheAnswerToAFurtherAttempt();
     anAnswerThatDoesNotFitItsRequestIsNotPassedOn();
     aCopyFromBeforeAPurgeIsNotPassedOn();
