Open a door for operators, with drain and its way back

- src/operator: ready, drain, undrain; it asks the gateway. src/net/calls is the agent's control front, moved and bounded in callers; events of the door come first in a turn.
- Both fronts drain: a no at once, connections end at rest, refusals from 1.9 s on, nobody held at 4 s.
- Stream::closeGently cut off slow readers 0.5 s after the close was asked for (stream.cpp, the timer of closeGently): its time now begins when the peer has taken all.
Ruled out: closing with bytes still under way, since a slow reader would send further requests into a connection that is closed for it only later.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -10,8 +10,8 @@
 #include <sstream>
 #include <system_error>
 
+#include "../net/calls.hpp"
 #include "consensus.hpp"
-#include "control.hpp"
 #include "supervisor.hpp"
 
 namespace {
@@ -83,8 +83,9 @@
                          if (phase_ == Phase::running)
                              supervisor_.want(state_.instances(), configuration_.id);
                      }),
-          control_(loop_, settings::readEndpoint(self_.control, "control"),
-                   [this](const net::HttpHead& head, const std::string& body, Control::Reply reply) {
+          control_(loop_, settings::readEndpoint(self_.control, "control"), net::CallServer::Limits{},
+                   net::Priority::usual,
+                   [this](const net::HttpHead& head, const std::string& body, net::CallServer::Reply reply) {
                        handle(head, body, std::move(reply));
                    }) {}
     ~Agent() override { loop_.remove(signalsId_, signals_.get()); }
@@ -129,7 +130,7 @@
         return 0;
     }
 
-    void handle(const net::HttpHead& head, const std::string& body, Control::Reply reply) {
+    void handle(const net::HttpHead& head, const std::string& body, net::CallServer::Reply reply) {
         if (head.method == "GET" && head.target == "/status")
             return reply({200, status().dump(2) + "\n", {}});
         const std::string prefix = "/instances/";
@@ -161,13 +162,15 @@
         }
         if (!consensus_.leads()) return toLeader(head.target, reply);
         consensus_.propose(command, [reply](bool agreed) {
-            reply(agreed ? Control::Answer{200, "agreed\n", {}} : Control::Answer{503, "not agreed\n", {}});
+            reply(agreed ? net::CallServer::Answer{200, "agreed\n", {}}
+                         : net::CallServer::Answer{503, "not agreed\n", {}});
         });
     }
-    void toLeader(const std::string& target, const Control::Reply& reply) {
+    void toLeader(const std::string& target, const net::CallServer::Reply& reply) {
         const std::uint64_t leader = consensus_.leader();
         for (const Member& m : configuration_.members)
-            if (m.id == leader && m.id != self_.id) return reply({307, "", "http://" + m.control + target});
+            if (m.id == leader && m.id != self_.id)
+                return reply({307, "", {"Location", "http://" + m.control + target}});
         reply({503, "the agents have no leader now\n", {}});
     }
     json status() {
@@ -193,7 +196,7 @@
     State state_;
     Supervisor supervisor_;
     Consensus consensus_;
-    Control control_;
+    net::CallServer control_;
 };
 
 }  // namespace
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -18,11 +19,15 @@
     virtual void reload() = 0;          // reads its configuration again; what can't be used changes nothing
     virtual void turn(Micros now) = 0;  // what is due by the clock
     virtual Micros nextTurn() const = 0;
+    // Sends clients away, until it is taken back.
+    virtual void drain() = 0;
+    virtual void undrain() = 0;
     virtual void leave() = 0;  // the process is to end: health checks are told
     virtual void stopListening() = 0;
     virtual std::size_t openRequests() const = 0;
     virtual bool settled() const = 0;  // no answer is owed, and all are with the kernel
     virtual Micros longestDeadline() const = 0;
+    virtual std::optional<settings::Endpoint> operatorDoor() const = 0;
     virtual void printCounters() const = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,11 +20,11 @@
 constexpr Micros kStillComing = 700ms;
 constexpr Micros kLeastDeadline = 3s;
 constexpr Micros kBeforeKill = 200ms;
-constexpr Micros kDrainTick = 20ms;
+constexpr Micros kLeaveTick = 20ms;
 
 }  // namespace
 
-Gateway::Gateway() {
+Gateway::Gateway(std::optional<settings::Endpoint> door) : givenDoor_(std::move(door)) {
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
     sigemptyset(&set);
@@ -38,6 +38,7 @@
 Gateway::~Gateway() { loop_.remove(signalsId_, signals_.get()); }
 
 void Gateway::start() {
+    openDoor();  // before the clients' address: it tells that this is not yet open
     for (const auto& service : services_) service->open();
     phase_ = Phase::serving;
 }
@@ -47,7 +48,7 @@
     while (phase_ != Phase::stopped) {
         Micros until = Micros::max();
         for (const auto& service : services_) until = std::min(until, service->nextTurn());
-        if (phase_ == Phase::draining) until = std::min(until, loop_.now() + kDrainTick);
+        if (phase_ == Phase::leaving) until = std::min(until, loop_.now() + kLeaveTick);
         loop_.turn(until);
         reload();
         for (const auto& service : services_) service->turn(loop_.now());
@@ -61,19 +62,70 @@
 void Gateway::reload() {
     if (!std::exchange(reloadAsked_, false)) return;
     for (const auto& service : services_) service->reload();
+    try {
+        openDoor();
+    } catch (const std::system_error& problem) {
+        std::fprintf(stderr, "lotuslead: operators stay at the old address: %s\n", problem.what());
+    }
+}
+
+// Throws, with the old door open, where the new address can't be listened on.
+void Gateway::openDoor() {
+    auto at = givenDoor_;
+    for (const auto& service : services_)
+        if (!at) at = service->operatorDoor();
+    if (at == doorAt_) return;
+    operators::Desk& desk = *this;
+    auto door = at ? std::make_unique<operators::Door>(loop_, *at, desk) : nullptr;
+    // It may be in the middle of an answer.
+    loop_.retire(std::shared_ptr<operators::Door>(std::move(door_)));
+    door_ = std::move(door);
+    doorAt_ = at;
+    if (door_) std::fprintf(stderr, "lotuslead: operators at %s:%u\n", doorAt_->host.c_str(), door_->port());
 }
 
-void Gateway::drain() {
-    if (phase_ != Phase::serving) return;
+const char* Gateway::phaseName() const {
+    switch (phase_) {
+        case Phase::starting:
+            return "starting";
+        case Phase::serving:
+            return "serving";
+        case Phase::draining:
+            return "draining";
+        default:
+            return "leaving";
+    }
+}
+
+bool Gateway::drain() {
+    if (phase_ == Phase::starting) return false;
+    if (phase_ != Phase::serving) return true;
     phase_ = Phase::draining;
-    drainingSince_ = loop_.now();
-    for (const auto& service : services_) service->leave();
+    for (const auto& service : services_) service->drain();
     std::fprintf(stderr, "lotuslead: draining, %zu requests open\n", openRequests());
+    return true;
+}
+
+bool Gateway::undrain() {
+    if (phase_ == Phase::serving) return true;
+    if (phase_ != Phase::draining) return false;
+    phase_ = Phase::serving;
+    for (const auto& service : services_) service->undrain();
+    std::fprintf(stderr, "lotuslead: taking clients again, %zu requests open\n", openRequests());
+    return true;
+}
+
+void Gateway::leave() {
+    if (phase_ != Phase::serving && phase_ != Phase::draining) return;
+    phase_ = Phase::leaving;
+    leavingSince_ = loop_.now();
+    for (const auto& service : services_) service->leave();
+    std::fprintf(stderr, "lotuslead: leaving, %zu requests open\n", openRequests());
 }
 
 void Gateway::advance() {
-    if (phase_ != Phase::draining) return;
-    const Micros passed = loop_.now() - drainingSince_;
+    if (phase_ != Phase::leaving) return;
+    const Micros passed = loop_.now() - leavingSince_;
     if (passed < kStillComing) return;
     Micros longest = kLeastDeadline;
     bool settled = true;
@@ -101,13 +153,17 @@
         else if (info.ssi_signo == SIGHUP)
             reloadAsked_ = true;
         else
-            drain();
+            leave();
     }
     return 0;
 }
 
 void Gateway::printCounters() const {
     for (const auto& service : services_) service->printCounters();
+    if (door_) {
+        const auto& d = door_->counters();
+        core::printFigures("lotuslead", "operators", {{"calls", d.calls}, {"refused", d.refused}});
+    }
 }
 
 }  // namespace lotuslead::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,14 +6,17 @@
 
 #include "../core/service.hpp"
 #include "../net/loop.hpp"
+#include "../operator/door.hpp"
 
 namespace lotuslead::gateway {
 
-class Gateway : private net::Handler {
+class Gateway : private net::Handler, private operators::Desk {
 public:
-    enum class Phase { starting, serving, draining, stopped };
+    // Draining is the operators' and has a way back; leaving is what SIGTERM begins, and has none.
+    enum class Phase { starting, serving, draining, leaving, stopped };
 
-    Gateway();
+    // `door`: the operators' address, which then holds whatever the configuration says.
+    explicit Gateway(std::optional<settings::Endpoint> door);
     ~Gateway() override;
 
     net::Loop& loop() { return loop_; }
@@ -23,9 +26,15 @@
 private:
     std::uint32_t ready(std::uint32_t events) override;  // signals
 
+    bool takesClients() const override { return phase_ == Phase::serving; }
+    const char* phaseName() const override;
+    bool drain() override;
+    bool undrain() override;
+
     void start();
     void reload();
-    void drain();
+    void openDoor();
+    void leave();
     void advance();
     std::size_t openRequests() const;
     void printCounters() const;
@@ -36,7 +45,9 @@
     net::Loop::HandlerId signalsId_ = 0;
     Phase phase_ = Phase::starting;
     bool reloadAsked_ = false;
-    core::Micros drainingSince_{};
+    core::Micros leavingSince_{};
+    std::optional<settings::Endpoint> givenDoor_, doorAt_;
+    std::unique_ptr<operators::Door> door_;
 };
 
 }  // namespace lotuslead::gateway
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <exception>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "gateway/gateway.hpp"
@@ -34,7 +35,9 @@
         const char* platformFile = variable("LB_CONFIG");
         const char* repositoryFile = variable("LB_REPOSITORY");
         if (!platformFile && !repositoryFile) throw settings::Malformed("variable LB_CONFIG is not set");
-        gateway::Gateway gateway;
+        std::optional<settings::Endpoint> door;
+        if (const char* given = variable("LB_OPERATOR")) door = settings::readEndpoint(given, "LB_OPERATOR");
+        gateway::Gateway gateway(door);
         if (platformFile)
             gateway.add(std::make_unique<platform::Service>(gateway.loop(), [=] {
                 return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile));
--- /dev/null
+++ b/src/net/calls.cpp
@@ -0,0 +1,120 @@
+#include "calls.hpp"
+
+#include <algorithm>
+
+namespace lotuslead::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kGentle = 500ms;  // for the answer to be read before the close
+
+const char* reasonOf(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 307:
+            return "Temporary Redirect";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 409:
+            return "Conflict";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return "Error";
+    }
+}
+
+}  // namespace
+
+class CallServer::Caller : public Stream::User, public std::enable_shared_from_this<Caller> {
+public:
+    Caller(CallServer& owner, Descriptor fd)
+        : owner_(owner),
+          parser_(HttpParser::Kind::request, {16 * 1024, owner.limits_.body}),
+          timer_(owner.loop_.after(owner.limits_.call, [this] { end(); })),
+          stream_(owner.loop_, std::move(fd), *this, owner.priority_) {}
+    ~Caller() override { owner_.loop_.cancel(timer_); }
+
+    bool asked() const { return asked_; }
+    bool answered() const { return answered_; }
+    void end() {
+        stream_.close();
+        owner_.forget(this);
+    }
+
+private:
+    bool streamData(std::string_view data) override {
+        if (asked_) return true;
+        const auto status = parser_.feed(data);
+        if (status == HttpParser::Status::needMore) return true;
+        asked_ = true;
+        if (status != HttpParser::Status::message) {
+            answer({400, "malformed request\n", {}});
+            return true;
+        }
+        owner_.handle_(parser_.head(), parser_.body(), [self = weak_from_this()](Answer a) {
+            if (const auto caller = self.lock()) caller->answer(std::move(a));
+        });
+        return true;
+    }
+    void answer(Answer a) {
+        answered_ = true;
+        std::string words = "HTTP/1.1 " + std::to_string(a.status) + " " + reasonOf(a.status) + "\r\n";
+        if (!a.field.first.empty()) words += a.field.first + ": " + a.field.second + "\r\n";
+        words += "Content-Type: text/plain\r\nContent-Length: " + std::to_string(a.body.size()) +
+                 "\r\nConnection: close\r\n\r\n" + a.body;
+        stream_.write(std::move(words));
+        owner_.loop_.post([self = weak_from_this()] {
+            if (const auto caller = self.lock()) caller->stream_.closeGently(kGentle);
+        });
+    }
+    void streamEnded(Stream::End) override { end(); }
+
+    CallServer& owner_;
+    HttpParser parser_;
+    bool asked_ = false, answered_ = false;
+    Loop::TimerKey timer_;
+    Stream stream_;
+};
+
+CallServer::CallServer(Loop& loop, const settings::Endpoint& at, Limits limits, Priority priority,
+                       Handle handle)
+    : loop_(loop),
+      limits_(limits),
+      priority_(priority),
+      handle_(std::move(handle)),
+      listener_(
+          loop, at, [this](Descriptor fd) { accept(std::move(fd)); }, priority) {}
+
+CallServer::~CallServer() = default;
+
+void CallServer::accept(Descriptor fd) {
+    if (callers_.size() >= limits_.callers) {
+        auto idle = std::find_if(callers_.begin(), callers_.end(),
+                                 [](const auto& caller) { return !caller->asked(); });
+        if (idle == callers_.end())
+            idle = std::find_if(callers_.begin(), callers_.end(),
+                                [](const auto& caller) { return caller->answered(); });
+        if (idle == callers_.end()) return;  // all are being answered
+        const auto held = *idle;
+        held->end();
+    }
+    callers_.push_back(std::make_shared<Caller>(*this, std::move(fd)));
+}
+
+void CallServer::forget(Caller* caller) {
+    const auto found = std::find_if(callers_.begin(), callers_.end(),
+                                    [&](const auto& held) { return held.get() == caller; });
+    if (found == callers_.end()) return;
+    loop_.retire(*found);
+    callers_.erase(found);
+}
+
+}  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/calls.hpp
@@ -0,0 +1,49 @@
+// Serves HTTP/1.1 with one call a connection, such as people's tools make. Callers are bounded in number and
+// time, so that those who finish no call keep nobody else out.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "http.hpp"
+#include "loop.hpp"
+#include "stream.hpp"
+
+namespace lotuslead::net {
+
+class CallServer {
+public:
+    struct Answer {
+        int status = 200;
+        std::string body;
+        std::pair<std::string, std::string> field;  // one further field of the head, where its name is given
+    };
+    using Reply = std::function<void(Answer)>;
+    using Handle = std::function<void(const HttpHead& head, const std::string& body, Reply reply)>;
+    struct Limits {
+        std::size_t callers = 64;  // beyond it the one that has asked nothing for longest makes room
+        std::size_t body = 1024 * 1024;
+        Micros call = std::chrono::seconds{15};  // from connecting to the answer
+    };
+
+    CallServer(Loop& loop, const settings::Endpoint& at, Limits limits, Priority priority, Handle handle);
+    ~CallServer();
+    std::uint16_t port() const { return listener_.port(); }
+
+private:
+    class Caller;
+
+    void accept(Descriptor fd);
+    void forget(Caller* caller);
+
+    Loop& loop_;
+    Limits limits_;
+    Priority priority_;
+    Handle handle_;
+    std::list<std::shared_ptr<Caller>> callers_;  // by the time at which they connected
+    Listener listener_;
+};
+
+}  // namespace lotuslead::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -15,7 +15,7 @@
     return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-Loop::HandlerId Loop::add(int fd, std::uint32_t events, Handler& handler) {
+Loop::HandlerId Loop::add(int fd, std::uint32_t events, Handler& handler, Priority priority) {
     const HandlerId id = nextId_++;
     epoll_event event{};
     event.events = events | EPOLLET;
@@ -23,12 +23,14 @@
     if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
         throw std::system_error(errno, std::generic_category(), "epoll_ctl");
     handlers_[id] = &handler;
+    if (priority == Priority::first) first_.insert(id);
     return id;
 }
 
 void Loop::remove(HandlerId id, int fd) {
     ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
     handlers_.erase(id);
+    first_.erase(id);
     again_.erase(id);
 }
 
@@ -49,6 +51,14 @@
     posted_.clear();
 }
 
+void Loop::handle(HandlerId id, std::uint32_t what) {
+    const auto found = handlers_.find(id);
+    if (found == handlers_.end()) return;
+    const std::uint32_t left = found->second->ready(what);
+    if (left != 0 && handlers_.count(id) > 0) again_[id] |= left;
+    runPosted();
+}
+
 void Loop::turn(Micros until) {
     if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
     const bool busy = !again_.empty() || !posted_.empty();
@@ -66,13 +76,10 @@
     due.swap(again_);
     for (int i = 0; i < count; ++i)
         due[events[static_cast<std::size_t>(i)].data.u64] |= events[static_cast<std::size_t>(i)].events;
-    for (const auto& [id, what] : due) {
-        const auto found = handlers_.find(id);
-        if (found == handlers_.end()) continue;
-        const std::uint32_t left = found->second->ready(what);
-        if (left != 0 && handlers_.count(id) > 0) again_[id] |= left;
-        runPosted();
-    }
+    const auto first = first_;
+    for (const HandlerId id : first)
+        if (const auto node = due.extract(id)) handle(id, node.mapped());
+    for (const auto& [id, what] : due) handle(id, what);
     while (!timers_.empty() && timers_.begin()->first.first <= now_) {
         const auto task = std::move(timers_.begin()->second);
         timers_.erase(timers_.begin());
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,9 @@
     virtual std::uint32_t ready(std::uint32_t events) = 0;
 };
 
+// Whose events come first in a turn, before all others that are due.
+enum class Priority { usual, first };
+
 class Loop {
 public:
     using HandlerId = std::uint64_t;
@@ -34,7 +38,7 @@
     Loop();
 
     Micros now() const { return now_; }
-    HandlerId add(int fd, std::uint32_t events, Handler& handler);
+    HandlerId add(int fd, std::uint32_t events, Handler& handler, Priority priority = Priority::usual);
     void remove(HandlerId id, int fd);
     void again(HandlerId id, std::uint32_t events);  // in the next turn, without a new edge
 
@@ -50,11 +54,13 @@
 private:
     static Micros clock();
     void runPosted();
+    void handle(HandlerId id, std::uint32_t what);
 
     Descriptor epoll_;
     Micros now_;
     std::uint64_t nextId_ = 1;
     std::unordered_map<HandlerId, Handler*> handlers_;
+    std::unordered_set<HandlerId> first_;  // those of priority
     std::unordered_map<HandlerId, std::uint32_t> again_;
     std::map<TimerKey, std::function<void()>> timers_;
     std::vector<std::function<void()>> posted_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -15,10 +17,13 @@
 
 namespace lotuslead::net {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 constexpr std::size_t kReadChunk = 64 * 1024;
 constexpr std::size_t kMostDropped = 256 * 1024;  // of what comes in after the end
+constexpr Micros kNotTaken = 3s;                  // then nobody reads what a connection that ends still has
 constexpr int kReadsATurn = 4;                    // then the others have their turn
 constexpr int kAcceptsATurn = 64;
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
@@ -38,11 +43,11 @@
 
 }  // namespace
 
-Stream::Stream(Loop& loop, Descriptor fd, User& user)
+Stream::Stream(Loop& loop, Descriptor fd, User& user, Priority priority)
     : loop_(loop), fd_(std::move(fd)), user_(user), state_(State::open) {
     noDelay(fd_.get());
     ::setsockopt(fd_.get(), SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof kSendBuffer);
-    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this);
+    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this, priority);
 }
 
 Stream::Stream(Loop& loop, const settings::Endpoint& to, User& user)
@@ -85,11 +90,25 @@
 
 void Stream::closeGently(Micros within) {
     if (state_ != State::open || std::exchange(gentle_, true)) return;
-    timer_ = loop_.after(within, [this] { end(End::closedByPeer); });
+    gentleFor_ = within;
+    left_ = untaken();
+    takenAt_ = loop_.now();
+    timer_ = loop_.after(within, [this] { endGently(); });
     pauseReading(false);
     closeAfterWriting();
 }
 
+// However long a slow reader takes for what it was sent: its time begins when it has all, and ends early only
+// where it takes nothing any more.
+void Stream::endGently() {
+    const std::size_t left = untaken();
+    const bool moves = left < left_;
+    if (moves) takenAt_ = loop_.now();
+    if (left_ == 0 || (!moves && loop_.now() - takenAt_ > kNotTaken)) return end(End::closedByPeer);
+    left_ = left;
+    timer_ = loop_.after(gentleFor_, [this] { endGently(); });
+}
+
 void Stream::allWritten() {
     if (!gentle_) return end(End::closedByPeer);
     ::shutdown(fd_.get(), SHUT_WR);
@@ -101,6 +120,12 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::size_t Stream::untaken() const {
+    int unacknowledged = 0;
+    if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
+    return unsent_ + static_cast<std::size_t>(unacknowledged);
+}
+
 void Stream::end(End why) {
     if (state_ == State::closed) return;
     close();
@@ -212,7 +237,7 @@
     return EPOLLIN;
 }
 
-Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted)
+Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted, Priority priority)
     : loop_(loop),
       fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
@@ -224,7 +249,7 @@
         ::listen(fd_.get(), 1024) != 0)
         throw std::system_error(errno, std::generic_category(),
                                 "cannot listen on " + at.host + ":" + std::to_string(at.port));
-    id_ = loop_.add(fd_.get(), EPOLLIN, *this);
+    id_ = loop_.add(fd_.get(), EPOLLIN, *this, priority);
 }
 
 Listener::~Listener() { loop_.remove(id_, fd_.get()); }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -23,7 +23,7 @@
         virtual void streamEnded(End end) = 0;
     };
 
-    Stream(Loop& loop, Descriptor fd, User& user);                 // accepted
+    Stream(Loop& loop, Descriptor fd, User& user, Priority priority = Priority::usual);  // accepted
     Stream(Loop& loop, const settings::Endpoint& to, User& user);  // connects; may end in the next turn
     ~Stream() override;
     Stream(const Stream&) = delete;
@@ -40,7 +40,8 @@
     // has sent too much: a close over unread bytes would be a reset, which takes back from the peer what it
     // has not yet read.
     void closeGently(Micros within);
-    bool quiet() const;  // nothing has come in that was not read
+    bool quiet() const;                               // nothing has come in that was not read
+    bool allTaken() const { return untaken() == 0; }  // the peer's machine has all that was written
 
     std::uint32_t ready(std::uint32_t events) override;
 
@@ -50,6 +51,8 @@
     void flush();
     void end(End why);
     void allWritten();
+    void endGently();
+    std::size_t untaken() const;  // of what was written, by the peer's machine
     std::uint32_t readSome();
 
     Loop& loop_;
@@ -65,6 +68,8 @@
     bool closing_ = false;
     bool gentle_ = false;
     std::size_t dropped_ = 0;
+    std::size_t left_ = 0;  // untaken when last looked at
+    Micros gentleFor_{}, takenAt_{};
     bool failedAtOnce_ = false;
     Loop::TimerKey timer_{};
 };
@@ -73,7 +78,8 @@
 class Listener : public Handler {
 public:
     using Accepted = std::function<void(Descriptor)>;
-    Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted);
+    Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted,
+             Priority priority = Priority::usual);
     ~Listener() override;
     std::uint16_t port() const;
     std::uint32_t ready(std::uint32_t events) override;
--- /dev/null
+++ b/src/operator/door.cpp
@@ -0,0 +1,33 @@
+#include "door.hpp"
+
+namespace lotuslead::operators {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Callers that connect and finish no call must not keep others out: a caller waits 1 s.
+constexpr net::CallServer::Limits kLimits{24, 4 * 1024, 3s};
+
+}  // namespace
+
+Door::Door(net::Loop& loop, const settings::Endpoint& at, Desk& desk)
+    : desk_(desk),
+      server_(loop, at, kLimits, net::Priority::first,
+              [this](const net::HttpHead& head, const std::string&, net::CallServer::Reply reply) {
+                  net::CallServer::Answer given = answer(head);
+                  ++(given.status == 200 ? counters_.calls : counters_.refused);
+                  reply(std::move(given));
+              }) {}
+
+net::CallServer::Answer Door::answer(const net::HttpHead& head) {
+    const std::string path = head.target.substr(0, head.target.find('?'));
+    const bool ready = path == "/ready", drain = path == "/drain", undrain = path == "/undrain";
+    if (!ready && !drain && !undrain) return {404, "no such call\n", {}};
+    if (head.method != (ready ? "GET" : "POST"))
+        return {405, "method not allowed\n", {"Allow", ready ? "GET" : "POST"}};
+    const bool yes = ready ? desk_.takesClients() : drain ? desk_.drain() : desk_.undrain();
+    return {yes ? 200 : ready ? 503 : 409, std::string(desk_.phaseName()) + "\n", {}};
+}
+
+}  // namespace lotuslead::operators
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -21,11 +21,16 @@
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
 // Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
-constexpr Micros kFirstMessage = 2500ms;      // from connecting to the first whole message
-constexpr Micros kHalfMessage = 2500ms;       // from the first byte of a later one to its last
-constexpr Micros kGentle = 500ms;             // for what was answered to be read before the close
-constexpr Micros kSilentYoung = 200ms;        // a new connection may still be about to ask
-constexpr Micros kTakenBackAtOnce = 20ms;     // no client that waits for its answer does so
+constexpr Micros kFirstMessage = 2500ms;   // from connecting to the first whole message
+constexpr Micros kHalfMessage = 2500ms;    // from the first byte of a later one to its last
+constexpr Micros kGentle = 500ms;          // for what was answered to be read before the close
+constexpr Micros kSilentYoung = 200ms;     // a new connection may still be about to ask
+constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
+// Operators send clients away: 4 s after that nobody is to be held.
+constexpr Micros kSweep = 50ms;
+constexpr Micros kDrainRefuses = 1900ms;
+constexpr Micros kDrainEnds = 3500ms;
+constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
 constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
 constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
 constexpr int kMostStrikes = 12;              // useless messages in a row that a connection may bring
@@ -76,6 +81,21 @@
     bool young() const { return owner_.loop_.now() - connectedAt_ < kSilentYoung; }
     Micros lastUsed() const { return lastUsed_; }
 
+    // Clients are to go: an end where nothing is open, unread or still on its way to the client, which then
+    // sees it before it asks again. `since` is when refusals began, `last`: it is time for those that were
+    // refused something and have older requests open.
+    void endForDrain(std::optional<Micros> since, bool last) {
+        if (ending_ || !stream_.allTaken()) return;
+        const Micros now = owner_.loop_.now();
+        if (last && since && lastCall_ >= *since) failOpen();
+        if (ending_ || !open_.empty() || !ahead_.empty() || !stream_.quiet()) return;
+        if (parser_.midMessage() && !last) return;
+        if (!used_ && now - connectedAt_ < kSilentDrained) return;
+        ++owner_.counters_.drained;
+        retired_ = true;
+        endIfAnswered();
+    }
+
     void abandon() {
         stream_.close();
         stopWatch();
@@ -221,7 +241,7 @@
         }
         if (words[0] != "CHECK") return false;
         ++owner_.counters_.checks;
-        answer(words[1], owner_.leaving_ ? "LEAVING" : "PASS", "-", {});
+        answer(words[1], owner_.leaving_ || owner_.drainingSince_ ? "LEAVING" : "PASS", "-", {});
         return true;
     }
 
@@ -234,6 +254,12 @@
             retire();
             return true;
         }
+        lastCall_ = owner_.loop_.now();
+        if (owner_.refuses()) {
+            ++owner_.counters_.drainRefused;
+            answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+            return true;
+        }
         if (retired_ || open_.size() >= kOpenAConnection) {
             ++owner_.counters_.beyondBound;
             answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
@@ -342,7 +368,7 @@
     std::string ahead_;                           // read, and not yet taken
     std::unordered_map<std::string, Call> open_;  // by tag
     std::size_t counted_ = 0;
-    Micros connectedAt_, lastUsed_;
+    Micros connectedAt_, lastUsed_, lastCall_{};
     std::optional<net::Loop::TimerKey> watch_, resume_;
     int strikes_ = 0;
     bool used_ = false;     // a whole message has come
@@ -368,6 +394,7 @@
 }
 
 Front::~Front() {
+    undrain();
     for (const auto& [key, client] : clients_) client->abandon();
 }
 
@@ -378,6 +405,33 @@
                                            [this](net::Descriptor fd) { accept(std::move(fd)); });
 }
 
+void Front::drain() {
+    if (drainingSince_) return;
+    drainingSince_ = loop_.now();
+    sweep();
+}
+
+void Front::undrain() {
+    drainingSince_.reset();
+    if (sweep_) loop_.cancel(*sweep_);
+    sweep_.reset();
+}
+
+bool Front::refuses() const { return drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses; }
+
+void Front::sweep() {
+    std::optional<Micros> refusing;
+    if (refuses()) refusing = *drainingSince_ + kDrainRefuses;
+    const bool last = loop_.now() - *drainingSince_ >= kDrainEnds;
+    std::vector<std::shared_ptr<Client>> all;  // an end takes it from the table
+    for (const auto& [key, client] : clients_) all.push_back(client);
+    for (const auto& client : all) client->endForDrain(refusing, last);
+    sweep_ = loop_.after(kSweep, [this] {
+        sweep_.reset();
+        sweep();
+    });
+}
+
 void Front::stopListening() { listener_.reset(); }
 
 void Front::accept(net::Descriptor fd) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -19,7 +20,8 @@
 public:
     struct Counters {
         std::uint64_t connections = 0, turnedAway = 0, closedIdle = 0, silent = 0, halfMessages = 0,
-                      malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, checks = 0;
+                      malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, checks = 0,
+                      drained = 0, drainRefused = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration);
@@ -31,7 +33,11 @@
     void reconfigure(const settings::Configuration& configuration);
     void stopListening();
     void leave() { leaving_ = true; }  // tells checks so
-    bool idle() const;                 // nothing is owed and all answers are with the kernel
+    // Checks are told so at once, and connections end when they are at rest; what still comes is served, and
+    // refused from kDrainRefuses on. The few connections that are then still there end before kDrainEnds.
+    void drain();
+    void undrain();
+    bool idle() const;  // nothing is owed and all answers are with the kernel
     std::size_t clients() const { return clients_.size(); }
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
@@ -43,6 +49,8 @@
     bool makeRoom();
     bool roomForOne() const;
     void forget(Client* client);
+    void sweep();
+    bool refuses() const;
     void takeLimits(const settings::Limits& limits);
     std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
@@ -54,6 +62,8 @@
     std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read
     bool leaving_ = false;
+    std::optional<core::Micros> drainingSince_;
+    std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
     std::unique_ptr<net::Listener> listener_;
     std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -57,6 +57,8 @@
     }
     void turn(core::Micros now) override { requests_.turn(now); }
     core::Micros nextTurn() const override { return requests_.nextTurn(); }
+    void drain() override { front_.drain(); }
+    void undrain() override { front_.undrain(); }
     void leave() override { front_.leave(); }
     void stopListening() override { front_.stopListening(); }
     std::size_t openRequests() const override { return requests_.open(); }
@@ -64,6 +66,9 @@
     core::Micros longestDeadline() const override {
         return core::longestGiveUp(baseOf(configuration_).words.settings);
     }
+    std::optional<settings::Endpoint> operatorDoor() const override {
+        return baseOf(configuration_).operatorDoor;
+    }
     void printCounters() const override {
         const std::string& name = baseOf(configuration_).name;
         core::printRequestCounters(name, requests_);
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -20,6 +20,8 @@
                         {"retired", f.retired},
                         {"no_room", f.noRoom},
                         {"checks", f.checks},
+                        {"drained", f.drained},
+                        {"drain_refused", f.drainRefused},
                         {"clients", front_.clients()}});
     core::printFigures(name, "stores",
                        {{"connects", s.connects},
--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -18,6 +18,9 @@
 
 constexpr Micros kStill = 30s;                 // a connection on which nothing moves for so long is closed
 constexpr std::size_t kReadAhead = 64 * 1024;  // of further requests while one is answered
+constexpr Micros kSweep = 50ms;                // of the connections, while clients are sent away
+constexpr Micros kDrainRefuses = 1900ms;       // as at the platform's front
+constexpr Micros kSilentDrained = 500ms;
 constexpr std::size_t kSparedDescriptors = 128;
 
 const char* reasonOf(int status) {
@@ -68,12 +71,20 @@
     Client(Front& owner, net::Descriptor fd)
         : owner_(owner),
           parser_(net::HttpParser::Kind::request, {16 * 1024, 64 * 1024}),
+          connectedAt_(owner.loop_.now()),
           stream_(owner.loop_, std::move(fd), *this) {
         touch();
     }
     ~Client() override { abandon(); }
 
     bool idle() const { return !job_ && stream_.unsent() == 0; }
+    void endForDrain() {
+        if (job_ || closing_ || !ahead_.empty() || !stream_.allTaken() || !stream_.quiet()) return;
+        if (parser_.midMessage() || owner_.loop_.now() - connectedAt_ < kSilentDrained) return;
+        ++owner_.counters_.drained;
+        closing_ = true;
+        stream_.closeGently(kSilentDrained);
+    }
     void abandon() {
         stream_.close();
         if (timer_) owner_.loop_.cancel(*timer_);
@@ -142,7 +153,7 @@
 
     void begin(const net::HttpHead& head) {
         job_.emplace();
-        job_->keep = head.keepAlive() && !owner_.leaving_;
+        job_->keep = head.keepAlive() && !owner_.leaving_ && !owner_.drainingSince_;
         job_->head = head.method == "HEAD";
         if (head.minorVersion >= 1 && !head.field("host")) return refuse(400);
         const auto path = pathOf(head.target);
@@ -157,6 +168,7 @@
             const std::string* value = head.field(name);
             return value ? *value : std::string{};
         };
+        if (owner_.refuses()) return unavailable(1s);
         job_->route = *route;
         job_->path = *path;
         const auto& classes = owner_.configuration_.base.words.settings.classes;
@@ -404,6 +416,7 @@
     std::optional<Job> job_;
     int restarts_ = 0;
     bool closing_ = false;
+    Micros connectedAt_;
     std::optional<net::Loop::TimerKey> timer_;
     std::size_t counted_ = 0;
     net::Stream stream_;
@@ -421,7 +434,10 @@
     mostBytes_ = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024 / 2;
 }
 
-Front::~Front() { clients_.clear(); }
+Front::~Front() {
+    undrain();
+    clients_.clear();
+}
 
 void Front::open() { listener_ = listenOn(configuration_.base.listen); }
 
@@ -436,6 +452,28 @@
     takeLimits(configuration.base.limits);
 }
 
+void Front::drain() {
+    if (drainingSince_) return;
+    drainingSince_ = loop_.now();
+    sweep();
+}
+
+void Front::undrain() {
+    drainingSince_.reset();
+    if (sweep_) loop_.cancel(*sweep_);
+    sweep_.reset();
+}
+
+bool Front::refuses() const { return drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses; }
+
+void Front::sweep() {
+    for (const auto& [key, client] : clients_) client->endForDrain();
+    sweep_ = loop_.after(kSweep, [this] {
+        sweep_.reset();
+        sweep();
+    });
+}
+
 void Front::accept(net::Descriptor fd) {
     if (clients_.size() >= mostClients_) {
         ++counters_.turnedAway;
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,7 +18,7 @@
 public:
     struct Counters {
         std::uint64_t connections = 0, turnedAway = 0, indexes = 0, files = 0, badRequests = 0, notFound = 0,
-                      refused = 0, upstreamFailed = 0, late = 0, brokenOff = 0;
+                      refused = 0, upstreamFailed = 0, late = 0, brokenOff = 0, drained = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::RepositoryConfiguration& configuration);
@@ -29,6 +30,9 @@
     void reconfigure(const settings::RepositoryConfiguration& configuration);
     void stopListening() { listener_.reset(); }
     void leave() { leaving_ = true; }  // connections are not kept any more
+    // As at the platform's front: what still comes is served, and refused later on. Downloads go on.
+    void drain();
+    void undrain();
     bool idle() const;
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
@@ -39,6 +43,8 @@
     void accept(net::Descriptor fd);
     bool roomFor(std::size_t bytes) const;
     void forget(Client* client);
+    void sweep();
+    bool refuses() const;
     void takeLimits(const settings::Limits& limits);
     std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
@@ -50,6 +56,8 @@
     std::size_t unsent_ = 0;    // bytes of answers that clients have not yet read
     std::size_t expected_ = 0;  // bytes that the requests in hand may yet bring
     bool leaving_ = false;
+    std::optional<core::Micros> drainingSince_;
+    std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
     std::unique_ptr<net::Listener> listener_;
     std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
--- a/src/repository/service.cpp
+++ b/src/repository/service.cpp
@@ -18,7 +18,8 @@
                         {"refused", f.refused},
                         {"upstream_failed", f.upstreamFailed},
                         {"late", f.late},
-                        {"broken_off", f.brokenOff}});
+                        {"broken_off", f.brokenOff},
+                        {"drained", f.drained}});
     core::printFigures(name, "upstreams",
                        {{"connects", u.connects},
                         {"connect_failures", u.connectFailures},
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -346,6 +346,8 @@
     if (result.limits.memoryMb < 32) throw Malformed("field 'limits.memory_mb' is under 32");
     if (result.limits.sockets < 64) throw Malformed("field 'limits.sockets' is under 64");
     if (const std::string bus = textOr(root, "bus", ""); !bus.empty()) result.bus = readEndpoint(bus, "bus");
+    if (const std::string door = textOr(root, "operator", ""); !door.empty())
+        result.operatorDoor = readEndpoint(door, "operator");
     result.known = objectOrEmpty(root, "known");
     const json* info = valueAt(root, "settings");
     if (!info) throw Malformed("field 'settings' is missing");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -60,7 +60,8 @@
     std::uint64_t seed = 0;
     Limits limits;
     std::optional<Endpoint> bus;
-    nlohmann::json known;  // the events up to now, in the form of the event bus
+    std::optional<Endpoint> operatorDoor;  // none: it is off
+    nlohmann::json known;                  // the events up to now, in the form of the event bus
     Vocabulary words;
 };
 
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -293,12 +293,21 @@
                 {"purgeSettles", ms(6000)}}}}}};
 }
 
+// One call at the operators' door; the status of its answer.
+inline int operate(std::uint16_t port, const std::string& call) {
+    Connection c(port);
+    c.send(call + " HTTP/1.1\r\nHost: here\r\n\r\n");
+    const std::string head = c.readHead();
+    return head.size() > 12 ? std::atoi(head.c_str() + 9) : 0;
+}
+
 // The program itself, with its log.
 class Program {
 public:
     // `descriptors`: how many the system lets it have.
+    using Variables = std::vector<std::pair<std::string, std::string>>;
     explicit Program(const std::string& configuration, const char* variable = "LB_CONFIG",
-                     rlim_t descriptors = 1024) {
+                     rlim_t descriptors = 1024, const Variables& variables = {}) {
         char folder[] = "/tmp/lotuslead-test-XXXXXX";
         folder_ = ::mkdtemp(folder);
         std::ofstream(folder_ + "/config.json") << configuration;
@@ -308,13 +317,15 @@
             const rlimit limit{descriptors, descriptors};
             ::setrlimit(RLIMIT_NOFILE, &limit);
             ::setenv(variable, (folder_ + "/config.json").c_str(), 1);
+            for (const auto& [name, value] : variables) ::setenv(name.c_str(), value.c_str(), 1);
             if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(126);
             ::execl(LOTUSLEAD_PROGRAM, LOTUSLEAD_PROGRAM, nullptr);
             ::_exit(127);
         }
     }
-    explicit Program(const json& configuration, const char* variable = "LB_CONFIG", rlim_t descriptors = 1024)
-        : Program(configuration.dump(), variable, descriptors) {}
+    explicit Program(const json& configuration, const char* variable = "LB_CONFIG", rlim_t descriptors = 1024,
+                     const Variables& variables = {})
+        : Program(configuration.dump(), variable, descriptors, variables) {}
     ~Program() {
         if (pid_ > 0) {
             ::kill(pid_, SIGKILL);
@@ -324,12 +335,14 @@
         std::remove((folder_ + "/log").c_str());
         ::rmdir(folder_.c_str());
     }
-    std::uint16_t port() {
+    std::uint16_t port() { return portAfter(" on 127.0.0.1:"); }
+    std::uint16_t door() { return portAfter("operators at 127.0.0.1:"); }
+    std::uint16_t portAfter(const std::string& words) {
         for (int i = 0; i < kPatience * 100; ++i) {
             const std::string text = log();
-            const std::size_t at = text.find(" on 127.0.0.1:");
+            const std::size_t at = text.find(words);
             if (at != std::string::npos && text.find('\n', at) != std::string::npos)
-                return static_cast<std::uint16_t>(std::atoi(text.c_str() + at + 14));
+                return static_cast<std::uint16_t>(std::atoi(text.c_str() + at + words.size()));
             std::this_thread::sleep_for(10ms);
         }
         std::fprintf(stderr, "%s\n", log().c_str());
@@ -376,6 +389,43 @@
     pid_t pid_ = -1;
 };
 
+// A client of the platform's front, and stores.
+inline const std::string kEntity = "7f3a9c21e0b4d655";
+
+inline void call(Connection& client, const std::string& tag, const std::string& more = "",
+                 const std::string& kind = "page", const std::string& body = "") {
+    static int count = 0;
+    char trace[17];
+    std::snprintf(trace, sizeof trace, "%016x", ++count);
+    client.sendResp(
+        {"CALL", tag, kind,
+         "trace=" + std::string(trace) + ",patience=8000,entity=" + kEntity + ",block=0,family=3" + more,
+         body});
+}
+
+// Answers every PULL by the given function; what is not a PULL is passed over.
+using Answer = std::function<void(Connection&, const std::vector<std::string>&)>;
+inline Peer::Script store(Answer answer) {
+    return [answer](Connection& c) {
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();)
+            if (words[0] == "PULL") answer(c, words);
+    };
+}
+inline Answer serving(const std::string& body) {
+    return [body](Connection& c, const std::vector<std::string>& w) {
+        c.sendResp({w[1], "ok", "tag=4be0c1927d55a6f3,minted=1764576000000,remark=local", body});
+    };
+}
+
+struct Fleet {
+    Peer parent{store(serving("p"))}, origin{store(serving("o"))};
+    std::vector<json> with(std::vector<json> caches) const {
+        caches.push_back(host("parent-1", parent.address(), "parent"));
+        caches.push_back(host("origin-1", origin.address(), "origin"));
+        return caches;
+    }
+};
+
 inline std::string valueOf(const std::string& fields, const std::string& name) {
     std::istringstream all(fields);
     for (std::string one; std::getline(all, one, ',');)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -5,42 +5,6 @@
 
 using namespace lotuslead::testing;
 
-const std::string kEntity = "7f3a9c21e0b4d655";
-
-void call(Connection& client, const std::string& tag, const std::string& more = "",
-          const std::string& kind = "page", const std::string& body = "") {
-    static int count = 0;
-    char trace[17];
-    std::snprintf(trace, sizeof trace, "%016x", ++count);
-    client.sendResp(
-        {"CALL", tag, kind,
-         "trace=" + std::string(trace) + ",patience=8000,entity=" + kEntity + ",block=0,family=3" + more,
-         body});
-}
-
-// Answers every PULL by the given function; what is not a PULL is passed over.
-using Answer = std::function<void(Connection&, const std::vector<std::string>&)>;
-Peer::Script store(Answer answer) {
-    return [answer](Connection& c) {
-        for (std::vector<std::string> words; !(words = c.readResp()).empty();)
-            if (words[0] == "PULL") answer(c, words);
-    };
-}
-Answer serving(const std::string& body) {
-    return [body](Connection& c, const std::vector<std::string>& w) {
-        c.sendResp({w[1], "ok", "tag=4be0c1927d55a6f3,minted=1764576000000,remark=local", body});
-    };
-}
-
-struct Fleet {
-    Peer parent{store(serving("p"))}, origin{store(serving("o"))};
-    std::vector<json> with(std::vector<json> caches) const {
-        caches.push_back(host("parent-1", parent.address(), "parent"));
-        caches.push_back(host("origin-1", origin.address(), "origin"));
-        return caches;
-    }
-};
-
 void aRequestPassesThroughWholeAndUnchanged() {
     Fleet fleet;
     const std::string bytes = std::string(200'000, 'x') + std::string("\r\n\0$", 4);
@@ -163,7 +127,7 @@
     call(client, "1");
     pulled.await(1);
     program.signal(SIGTERM);
-    while (program.log().find("draining, 1 requests open") == std::string::npos)
+    while (program.log().find("leaving, 1 requests open") == std::string::npos)
         std::this_thread::sleep_for(5ms);
     Connection late(program.port());
     late.sendResp({"CHECK", "1", ""});
