Check a file whole at SIGHUP, and keep open requests under their rules

Lines at fault: settings.cpp, readClass and readSettings took what lacks as 0 or 1; policy.cpp, set_ was read anew at every step of a request. Checked: the story of the open request fails where reconfigure changes the settings in place, that of the broken files where needPositive lets any number pass.

--- a/include/lotuslead/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -208,8 +208,8 @@
     Router& operator=(Router&&) noexcept;
 
     void start(Time now, Actions& out);
-    // New settings for what comes from now on. A class and a zone keep their places; there may be further
-    // ones.
+    // New settings for what comes from now on; requests in hand keep those that they came under. A class and
+    // a zone keep their places; there may be further ones.
     void reconfigure(Settings settings);
     void handle(Time now, const HostList& event, Actions& out);
     void handleListFailed(Time now, Actions& out);
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -41,6 +41,7 @@
         const std::string name = baseOf(configuration_).name;
         try {
             Configuration fresh = source_();
+            settings::requireContinued(baseOf(configuration_).paths, baseOf(fresh).paths);
             const settings::BusBatch known = settings::readBatch(baseOf(fresh).known);
             continueFrom(configuration_, fresh);
             front_.reconfigure(fresh);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "lotuslead/router.hpp"
+#include "support/allowance.hpp"
 #include "support/hash.hpp"
 #include "support/lru_map.hpp"
 #include "support/window_sum.hpp"
@@ -116,6 +117,7 @@
 
 struct Pending {
     Request request;
+    std::shared_ptr<const Settings> set;  // in force when it came: it keeps them until it ends
     Time arrived{};
     Time aim{};       // when full worth ends
     double work = 0;  // seconds of sending time
@@ -125,9 +127,9 @@
     bool staleWillDo = false;  // something failed, or no fill is to be had
     std::vector<Attempt> attempts;
     std::vector<HostIndex> avoid;
-    auto out() const {
-        return std::count_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
-    }
+    auto out() const { return std::count_if(attempts.begin(), attempts.end(), isOut); }
+    static bool isOut(const Attempt& a) { return a.out; }
+    const ClassSettings& rules() const { return set->classes[static_cast<std::size_t>(request.classIndex)]; }
 };
 
 struct Route {
@@ -147,20 +149,13 @@
     bool tight(Time now) const { return now - cutAt < kGateSpan || !open(now); }
 };
 
-// A budget that grows with the requests.
-struct Allowance {
-    double burst, left;
-    void earn(double by) { left = std::min(burst, left + by); }
-    bool spend() { return left >= 1 ? (left -= 1, true) : false; }
-};
-
 }  // namespace
 
 class Router::Impl {
 public:
     Impl(Settings settings, std::uint64_t seed)
-        : set_(std::move(settings)),
-          meanWork_(set_.classes.size(), 0),
+        : set_(std::make_shared<Settings>(std::move(settings))),
+          meanWork_(set_->classes.size(), 0),
           random_(mix(seed)),
           salt_(mix(seed + 1)) {}
 
@@ -168,12 +163,12 @@
 
     void start(Time now, Actions& out) {
         startedAt_ = now;
-        if (set_.mustAskForList) out.push_back(Watch{});
+        if (set_->mustAskForList) out.push_back(Watch{});
     }
 
     void reconfigure(Settings settings) {
-        set_ = std::move(settings);
-        meanWork_.resize(set_.classes.size(), 0);
+        set_ = std::make_shared<Settings>(std::move(settings));
+        meanWork_.resize(set_->classes.size(), 0);
         groupHosts();
     }
 
@@ -191,12 +186,12 @@
             if (!hosts_[i].listed) continue;
             if (entry.role == Role::parent) parents_.push_back(i);
             if (entry.role == Role::origin) origins_.push_back(i);
-            if (entry.role == Role::cache && entry.zone == set_.zone) caches_.push_back(i);
+            if (entry.role == Role::cache && entry.zone == set_->zone) caches_.push_back(i);
         }
     }
 
     void listFailed(Time, Actions& out) {
-        if (!set_.mustAskForList) return;
+        if (!set_->mustAskForList) return;
         const TimerId timer = nextTimer_++;
         watchTimer_ = timer;
         out.push_back(SetTimer{timer, kFirstPause});
@@ -209,10 +204,11 @@
         origin_.earn(kOriginShare);
         Pending& p = pending_[request.id];
         p.request = request;
+        p.set = set_;
         p.arrived = now;
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(request.classIndex)];
-        if (request.sizeKb > 0 && set_.paceKb > 0)
-            learnWork(request.classIndex, request.sizeKb / set_.paceKb);
+        const ClassSettings& c = p.rules();
+        if (request.sizeKb > 0 && set_->paceKb > 0)
+            learnWork(request.classIndex, request.sizeKb / set_->paceKb);
         p.work = guessWork(request);
         setAim(p);
         if (!c.neverKept && !request.write && request.object != 0) lookUp(now, p, c);
@@ -283,7 +279,7 @@
         known = std::max(known, at);
         purgeOrder_.emplace_back(now, purge);
         // Kept twice as long as told: a copy younger than the purge is never hurt by it.
-        while (!purgeOrder_.empty() && purgeOrder_.front().first + 2 * set_.purgeSettles < now) {
+        while (!purgeOrder_.empty() && purgeOrder_.front().first + 2 * set_->purgeSettles < now) {
             const Purge old = purgeOrder_.front().second;
             const Time made = purgeOrder_.front().first - old.age;
             auto& table = old.object != 0 ? objectPurges_ : groupPurges_;
@@ -349,8 +345,8 @@
 
     double guessWork(const Request& r) const {
         const auto c = static_cast<std::size_t>(r.classIndex);
-        if (r.sizeKb > 0 && set_.paceKb > 0) return r.sizeKb / set_.paceKb;
-        return meanWork_[c] > 0 ? meanWork_[c] : seconds(set_.classes[c].aim) / 4;
+        if (r.sizeKb > 0 && set_->paceKb > 0) return r.sizeKb / set_->paceKb;
+        return meanWork_[c] > 0 ? meanWork_[c] : seconds(set_->classes[c].aim) / 4;
     }
 
     void learnWork(int classIndex, double work) {
@@ -359,7 +355,7 @@
     }
 
     void setAim(Pending& p) const {
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        const ClassSettings& c = p.rules();
         p.aim = std::min(p.request.deadline, p.arrived + c.aim + fromSeconds(c.aimStretch * p.work));
     }
 
@@ -368,9 +364,9 @@
     // it.
     void learnFromAnswer(Pending& p, const Attempt& a, const AttemptEnded& e) {
         if (p.request.sizeKb > 0 || e.sizeKb < 0) return;
-        const bool told = e.sizeKb > 0 && set_.paceKb > 0;
+        const bool told = e.sizeKb > 0 && set_->paceKb > 0;
         if (!told && (e.note != Note::hit || !a.alone)) return;
-        const double work = told ? e.sizeKb / set_.paceKb : seconds(e.elapsed);
+        const double work = told ? e.sizeKb / set_->paceKb : seconds(e.elapsed);
         learnWork(p.request.classIndex, work);
         if (!told) return;
         if (p.request.object != 0 && p.found) filter_.touch(p.request.object).first.work = work;
@@ -405,14 +401,14 @@
     }
 
     int routersHere() const {
-        const auto zone = static_cast<std::size_t>(set_.zone);
-        const bool told = set_.zone >= 0 && zone < set_.routersByZone.size();
-        return std::max(1, told ? set_.routersByZone[zone] : set_.routers);
+        const auto zone = static_cast<std::size_t>(set_->zone);
+        const bool told = set_->zone >= 0 && zone < set_->routersByZone.size();
+        return std::max(1, told ? set_->routersByZone[zone] : set_->routers);
     }
 
-    bool weightsTold() const { return set_.weights == Weights::nominal || set_.weights == Weights::rough; }
+    bool weightsTold() const { return set_->weights == Weights::nominal || set_->weights == Weights::rough; }
     int sharers(const Host& host) const {
-        return host.entry.role == Role::cache ? routersHere() : std::max(1, set_.routers);
+        return host.entry.role == Role::cache ? routersHere() : std::max(1, set_->routers);
     }
 
     // As told, or as learned; a host that has not shown it has at least what the least of its group has.
@@ -453,27 +449,27 @@
     bool isCold(Time now, const Host& host) const {
         const bool parent = host.entry.role == Role::parent;
         if (host.entry.role == Role::origin || host.entry.startedAt.count() <= 0) return false;
-        return (parent ? set_.parentFallMultiple : set_.fallMultiple) > 0 &&
-               now - host.entry.startedAt < (parent ? set_.parentWarmWithin : set_.warmWithin);
+        return (parent ? set_->parentFallMultiple : set_->fallMultiple) > 0 &&
+               now - host.entry.startedAt < (parent ? set_->parentWarmWithin : set_->warmWithin);
     }
 
     // The rule on cold hosts is a budget over every window, for all routers together; each keeps to its part.
     bool coldRoom(Time now, Host& host, double work) const {
         if (!isCold(now, host)) return true;
         const bool parent = host.entry.role == Role::parent;
-        const Time warm = parent ? set_.parentWarmWithin : set_.warmWithin;
-        const double multiple = parent ? set_.parentFallMultiple : set_.fallMultiple;
+        const Time warm = parent ? set_->parentWarmWithin : set_->warmWithin;
+        const double multiple = parent ? set_->parentFallMultiple : set_->fallMultiple;
         const double age = seconds(now - host.entry.startedAt);
-        const double from = parent ? set_.parentColdFrom : set_.coldFrom;
+        const double from = parent ? set_->parentColdFrom : set_->coldFrom;
         const double present = linkOf(host) * (from + (1 - from) * std::max(0.0, age) / seconds(warm));
         const double share = std::min(kColdShareOfPresent, kColdShareOfRule * multiple);
         const int routers = sharers(host);
-        const double budget = share * present * seconds(set_.fallWindow);
-        const double used = host.coldWork.over(now, set_.fallWindow);
+        const double budget = share * present * seconds(set_->fallWindow);
+        const double used = host.coldWork.over(now, set_->fallWindow);
         if (used + work <= budget / routers) return true;
         if (used > 0 || budget < kLotLeast * work) return false;
         // A draw a window, whose bounds differ among the routers.
-        const auto window = static_cast<std::uint64_t>(set_.fallWindow.count());
+        const auto window = static_cast<std::uint64_t>(set_->fallWindow.count());
         const std::uint64_t turn = (static_cast<std::uint64_t>(now.count()) + salt_ % window) / window;
         return unitInterval(combine(combine(salt_, host.hash), turn)) < kLotShare * budget / (work * routers);
     }
@@ -497,7 +493,7 @@
                    bool spread) {
         // Caches that all look bad are really lost, as with a whole zone, if the parents are well and take
         // requests.
-        const bool lost = &group == &caches_ && set_.direct && !parents_.empty() && !mostAreOut(parents_);
+        const bool lost = &group == &caches_ && set_->direct && !parents_.empty() && !mostAreOut(parents_);
         const bool ignoreHealth = mostAreOut(group) && !lost;
         HostIndex first = kNone, second = kNone;
         double best = HUGE_VAL, next = HUGE_VAL;
@@ -562,7 +558,7 @@
     }
 
     Time roundTrip(const Pending& p) const {
-        const Time aim = set_.classes[static_cast<std::size_t>(p.request.classIndex)].aim;
+        const Time aim = p.rules().aim;
         return fromSeconds(kRoundTrip * seconds(aim));
     }
 
@@ -588,7 +584,7 @@
 
     // The ordinary path, and what is left of it when hosts are missing, sick or were tried already.
     Route chooseRoute(Time now, Pending& p) {
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        const ClassSettings& c = p.rules();
         const bool write = c.neverKept || p.request.write;
         if (!write && !linkInTime(now, p)) return oldCopy(now, p, kNone);
         const HostIndex parent = pickParent(now, p);
@@ -596,7 +592,7 @@
         const HostIndex source = parent != kNone ? parent : top;
         // A name new to a young filter says nothing: it asks its cache on the way, which keeps no copy of it.
         const bool young = now - startedAt_ < kYoungFilter;
-        const bool upward = set_.direct && (write || (!p.found && (!young || !p.attempts.empty())));
+        const bool upward = set_->direct && (write || (!p.found && (!young || !p.attempts.empty())));
         // Copies and fills are asked for apart where fills are short, and from a cold parent, whose budget
         // every attempt that might be a fill would use up.
         if (!write && p.attempts.empty() && source != kNone) {
@@ -611,14 +607,14 @@
         const HostIndex cache = pickCache(now, p);
         if (cache != kNone && source != kNone && (!upward || top == kNone))
             if (source != top || origin_.spend()) return {cache, source, p.keepRank, false};
-        if (set_.direct && parent != kNone) return {parent, kNone, 0, false};
-        if (set_.direct && top != kNone && origin_.spend()) return {top, kNone, 0};
+        if (set_->direct && parent != kNone) return {parent, kNone, 0, false};
+        if (set_->direct && top != kNone && origin_.spend()) return {top, kNone, 0};
         return write ? Route{} : oldCopy(now, p, kNone);
     }
 
     // No fill is to be had: an old copy will do, of the cache or of the parent.
     Route oldCopy(Time now, Pending& p, HostIndex parent) {
-        const bool older = set_.classes[static_cast<std::size_t>(p.request.classIndex)].staleFor.count() > 0;
+        const bool older = p.rules().staleFor.count() > 0;
         if (!p.attempts.empty() && (p.staleWillDo || !older)) return {};
         p.staleWillDo = true;
         return heldOnly(now, p, parent);
@@ -688,7 +684,7 @@
 
     void sendOrGiveUp(Time now, Pending& p, Actions& out) {
         const Time left = p.request.deadline - now;
-        if (left <= fromSeconds(p.work) || static_cast<int>(p.attempts.size()) >= set_.mostTries)
+        if (left <= fromSeconds(p.work) || static_cast<int>(p.attempts.size()) >= p.set->mostTries)
             return giveUp(now, p, out);
         Route route = chooseRoute(now, p);
         if (!route.ok()) return giveUp(now, p, out);
@@ -697,7 +693,7 @@
 
     void send(Time now, Pending& p, const Route& route, Actions& out) {
         Host& host = hosts_[route.host];
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        const ClassSettings& c = p.rules();
         Send s;
         s.request = p.request.id;
         s.host = host.entry.name;
@@ -709,7 +705,7 @@
             s.source = hosts_[source].entry.name;
             s.keepRank = host.entry.role == Role::cache ? route.keepRank : 0;
             s.oldest = oldestAllowed(now, p, c);
-            s.join = set_.joins;
+            s.join = set_->joins;
             s.heldOnly = route.sourceHeldOnly && host.entry.role == Role::cache;
             if (route.sourceHeldOnly && host.entry.role == Role::parent) s.source = host.entry.name;
             s.renew = c.freshFor.count() > 0 && p.found;
@@ -756,7 +752,7 @@
 
     // When another attempt must begin if it is to be in time for the aim.
     void armSlowTimer(Time now, const Pending& p, int attempt, Actions& out) {
-        if (!set_.secondCopies && !set_.mayCancel) return;
+        if (!p.set->secondCopies && !p.set->mayCancel) return;
         const Time needed = fromSeconds(kSendSlack * p.work) + roundTrip(p);
         const Time at = std::max(now + needed, p.aim - needed);
         if (at + needed >= p.request.deadline) return;
@@ -769,20 +765,19 @@
         Attempt& a = p.attempts[static_cast<std::size_t>(number)];
         if (p.answered || p.streaming || !a.out) return;
 
-        // It answers others: its fill is slow, and one begun anew would be slower.
         // A host that answers others has not gone silent: its fill is slow, and one begun anew is slower
         // still and loads the tiers above twice.
         const bool alive = hosts_[a.host].heardAt > a.sentAt;
         a.slow = true;
         if (!alive) recordFailure(now, a.host, kSlowIsFailure);
         if (a.source != kNone && a.source != a.host) recordFailure(now, a.source, kSlowIsFailure);
-        if (alive || static_cast<int>(p.attempts.size()) >= set_.mostTries || p.out() > 1) return;
-        if (set_.classes[static_cast<std::size_t>(p.request.classIndex)].effect != Effect::safe) return;
+        if (alive || static_cast<int>(p.attempts.size()) >= p.set->mostTries || p.out() > 1) return;
+        if (p.rules().effect != Effect::safe) return;
         avoid(p, a.host);
         if (a.source != kNone) avoid(p, a.source);
         const Route route = chooseRoute(now, p);
         if (!route.ok() || !extra_.spend()) return;
-        if (set_.secondCopies) return send(now, p, route, out);
+        if (p.set->secondCopies) return send(now, p, route, out);
         p.retryAfterCancel = true;
         out.push_back(Cancel{p.request.id, number});
     }
@@ -811,7 +806,7 @@
 
     // Whether the request may go to this host after what was tried already.
     bool repeatAllowed(Time now, const Pending& p, const Host& host) const {
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        const ClassSettings& c = p.rules();
         if (c.effect == Effect::safe) return true;
         for (const Attempt& a : p.attempts) {
             if (!a.out && !a.mayHaveRun) continue;
@@ -825,7 +820,7 @@
     }
 
     bool refusalAllowed(const Pending& p) const {
-        const ClassSettings& c = set_.classes[static_cast<std::size_t>(p.request.classIndex)];
+        const ClassSettings& c = p.rules();
         if (c.effect == Effect::safe) return true;
         const bool perhapsRun = std::any_of(p.attempts.begin(), p.attempts.end(),
                                             [](const Attempt& a) { return a.out || a.mayHaveRun; });
@@ -835,7 +830,7 @@
     // Given up on means answered at once; the client is told when to come back.
     void giveUp(Time, Pending& p, Actions& out) {
         if (refusalAllowed(p)) {
-            const Time hint = set_.retryHints ? std::min(kRetryHint, set_.maxRetryHint) : Time{0};
+            const Time hint = p.set->retryHints ? std::min(kRetryHint, p.set->maxRetryHint) : Time{0};
             out.push_back(Refuse{p.request.id, hint});
         } else {
             out.push_back(Fail{p.request.id});
@@ -850,7 +845,7 @@
     }
 
     void cancelOthers(const Pending& p, int except, Actions& out) {
-        if (!set_.mayCancel) return;
+        if (!p.set->mayCancel) return;
         for (int i = 0; i < static_cast<int>(p.attempts.size()); ++i)
             if (i != except && p.attempts[static_cast<std::size_t>(i)].out)
                 out.push_back(Cancel{p.request.id, i});
@@ -955,7 +950,7 @@
         host.trialsWon = 0;
     }
 
-    Settings set_;
+    std::shared_ptr<const Settings> set_;
     std::deque<Host> hosts_;  // never shrinks: indices stay valid, and places are used again
     std::unordered_map<std::string, HostIndex> byName_;
     std::vector<HostIndex> caches_, parents_, origins_;  // ready ones; caches of the own zone
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -107,16 +107,25 @@
     return Siblings::none;
 }
 
+// What a request can't be served without is never guessed: a file that lacks it is not whole.
+std::int64_t needPositive(const json& object, const std::string& key) {
+    if (!valueAt(object, key)) throw Malformed("field '" + key + "' is missing");
+    const std::int64_t number = wholeOr(object, key, 0);
+    if (number <= 0) wrongType(key, "a positive number");
+    return number;
+}
+
 ClassSettings readClass(const json& entry) {
     ClassSettings result;
-    result.aim = timeOr(entry, "aim");
+    result.aim = Time{needPositive(entry, "aim")};
     result.aimStretch = numberOr(entry, "aimStretch", 0);
-    result.giveUp = timeOr(entry, "hardLimit");
+    result.giveUp = Time{needPositive(entry, "hardLimit")};
     result.worth = numberOr(entry, "value", 1);
     result.lateWorth = numberOr(entry, "lateValue", 0);
-    result.effect = effectOf(textOr(entry, "effect", "single_shot"));
+    result.effect = effectOf(needText(entry, "effect"));
     result.group = groupOf(textOr(entry, "group", "all"));
     result.repeatWindow = timeOr(entry, "window");
+    if (result.effect == Effect::keyed) needPositive(entry, "window");
     result.streamed = flagOr(entry, "stream", false);
     return result;
 }
@@ -228,8 +237,10 @@
     Vocabulary words;
     Settings& settings = words.settings;
     for (const json& item : listOrEmpty(info, "categories")) {
-        words.classNames.push_back(textOr(item, "name", ""));
-        words.classes.emplace(words.classNames.back(), static_cast<int>(settings.classes.size()));
+        words.classNames.push_back(needText(item, "name"));
+        const int at = static_cast<int>(settings.classes.size());
+        if (!words.classes.emplace(words.classNames.back(), at).second)
+            throw Malformed("field 'categories' names '" + words.classNames.back() + "' twice");
         settings.classes.push_back(readClass(item));
     }
     int place = 0;
@@ -248,7 +259,7 @@
     settings.mayCancel = flagOr(allowed, "mayCancel", false);
     settings.mayProbe = flagOr(allowed, "mayProbe", false);
     settings.retryHints = flagOr(allowed, "retryAfter", false);
-    settings.mostTries = static_cast<int>(wholeOr(allowed, "mostTries", 1));
+    settings.mostTries = static_cast<int>(std::min<std::int64_t>(needPositive(allowed, "mostTries"), 1000));
     settings.maxRetryHint = timeOr(allowed, "maxRetryAfter");
     words.connectTimeout = timeOr(allowed, "connectTimeout");
     words.idleClose = timeOr(allowed, "keepalive");
@@ -330,10 +341,31 @@
     return result;
 }
 
+namespace {
+
+// Whatever the object in force has the fresh one must have, too. Lists are looked at by their readers, and
+// events are the bus's.
+void collectPaths(const json& object, const std::string& before, std::set<std::string>& paths) {
+    for (const auto& [key, value] : object.items()) {
+        if (value.is_null() || before + key == "known") continue;
+        paths.insert(before + key);
+        if (value.is_object()) collectPaths(value, before + key + ".", paths);
+    }
+}
+
+}  // namespace
+
+void requireContinued(const std::set<std::string>& before, const std::set<std::string>& fresh) {
+    for (const std::string& path : before)
+        if (fresh.count(path) == 0) throw Malformed("field '" + path + "' is missing");
+}
+
 Configuration readConfiguration(const std::string& text) {
     const json root = json::parse(text, nullptr, false);
     if (root.is_discarded()) throw Malformed("the configuration is no JSON");
+    if (!root.is_object()) throw Malformed("the configuration is no JSON object");
     Configuration result;
+    collectPaths(root, "", result.paths);
     result.name = textOr(root, "name", "");
     result.listen = readEndpoint(needText(root, "listen"), "listen");
     const std::string seed = textOr(root, "seed", "0");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
@@ -63,9 +64,12 @@
     std::optional<Endpoint> operatorDoor;  // none: it is off
     nlohmann::json known;                  // the events up to now, in the form of the event bus
     Vocabulary words;
+    std::set<std::string> paths;  // of all its fields
 };
 
 Configuration readConfiguration(const std::string& text);
+// A file that is read again and lacks a field that the one in force has is not whole; throws Malformed.
+void requireContinued(const std::set<std::string>& before, const std::set<std::string>& fresh);
 
 // What the repository front serves: its configuration has the same form, and these besides.
 struct Route {
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -124,9 +124,88 @@
     assert(slow.closed());
 }
 
+void nothingIsTakenFromABrokenFile() {
+    Fleet fleet;
+    Peer cache(store(serving("as before")));
+    const json good = configuration(fleet.with({host("cache-1", cache.address())}));
+    Program program(good);
+    Connection client(program.port());
+    std::vector<std::string> broken = {"", "{", "[]", good.dump().substr(0, good.dump().size() / 2)};
+    const auto with = [&](const std::function<void(json&)>& change) {
+        json one = good;
+        one["settings"]["categories"][1]["name"] = "other";  // nothing of it is to be seen
+        change(one);
+        broken.push_back(one.dump());
+    };
+    for (const char* key : {"name", "listen", "seed", "limits", "settings"})
+        with([&](json& c) { c.erase(key); });
+    for (const char* key : {"zone", "categories", "allowed", "obligations", "extra"})
+        with([&](json& c) { c["settings"].erase(key); });
+    for (const char* key : {"name", "effect", "aim", "hardLimit"})
+        with([&](json& c) { c["settings"]["categories"][0].erase(key); });
+    with([&](json& c) { c["settings"]["categories"][2].erase("window"); });
+    with([&](json& c) { c["settings"]["allowed"].erase("mayCancel"); });
+    for (const json& value : {json(0), json(-5), json("soon"), json(nullptr), json(1e30)}) {
+        with([&](json& c) { c["settings"]["categories"][0]["hardLimit"] = value; });
+        with(
+            [&](json& c) { c["settings"]["allowed"]["mostTries"] = value == json(1e30) ? json(-1) : value; });
+    }
+    with([&](json& c) { c["settings"]["categories"][0]["name"] = "checkout"; });
+    for (std::size_t i = 0; i < broken.size(); ++i) {
+        program.rewrite(broken[i]);
+        program.signal(SIGHUP);
+        program.awaitLog("configuration not taken, the old one stays", static_cast<int>(i) + 1);
+        call(client, std::to_string(i + 1));
+        assert(client.readResp()[1] == "SERVED");
+    }
+    program.signal(SIGTERM);
+    assert(program.exitCode() == 0);
+    // At the start it is one line and exit 2.
+    json wrong = good;
+    wrong["settings"]["categories"][0]["hardLimit"] = -5;
+    Program never(wrong);
+    assert(never.exitCode() == 2);
+    assert(never.log() == "lotuslead: bad configuration: field 'hardLimit' is not a positive number\n");
+}
+
+void anOpenRequestKeepsTheRulesItCameUnder() {
+    Fleet fleet;
+    Mark pulled, go;
+    const auto script = store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        if (pulled.count() == 1) go.await(1);
+        if (pulled.count() % 2 == 1) return c.sendResp({words[1], "error", "-", ""});
+        serving("second try")(c, words);
+    });
+    Peer first(script), second(script);
+    json settings =
+        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())}));
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1", "", "installer");
+    pulled.await(1);
+    // One try from now on, and a run too many does harm; the class has another place besides.
+    auto& categories = settings["settings"]["categories"];
+    categories = {categories[1], categories[2], categories[0]};
+    categories[2]["effect"] = "single_shot";
+    settings["settings"]["allowed"]["mostTries"] = 1;
+    settings["settings"]["extra"]["neverKept"] = {false, true, false};
+    settings["settings"]["extra"]["inParts"] = {false, false, true};
+    program.rewrite(settings.dump());
+    program.signal(SIGHUP);
+    program.awaitLog("configuration read again");
+    go.raise();
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "second try"}));
+    call(client, "2", "", "installer");
+    assert((client.readResp() == std::vector<std::string>{"2", "ERR", "-", ""}));
+    assert(pulled.count() == 3);
+}
+
 }  // namespace
 
 int main() {
+    nothingIsTakenFromABrokenFile();
+    anOpenRequestKeepsTheRulesItCameUnder();
     theDoorAnswersWhoeverElseStandsThere();
     drainSendsClientsAwayAndUndrainTakesThemBack();
     aSlowReaderGetsAllOfItsAnswerFromADrain();
