Replace the process without a gap: inherited socket, meeting place, shared limits

- net: a listening socket that was inherited is checked and shared.
Bus: the first poll asks without a hold, and no client is taken before it is answered, for 1.5 s at most.
- gateway/meeting: Unix socket in TMPDIR, RESP, versioned.
While both run each has half of memory, descriptors and of the module's shares; SIGTERM is acted on after the turn, so that a successor that has just said that it serves has been heard.
- Stores' connections have a bound in all, so that descriptors are left for operators and a successor.
Seen in its logs: on one of six handovers 203 calls were refused on a connection that one slow request kept open from 1.9 s to 3.4 s; such a connection now ends at 2.3 s, with that one failed.
Ruled out: refusals for want of memory under halved limits (no_room 10 of 1455 at the most, elsewhere 0).
The old offset of the bus is not handed over: numbers begin anew at each start of a gateway.

--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -1,6 +1,7 @@
 #include "decisions.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "../support/hash.hpp"
 
@@ -26,7 +27,20 @@
 
 void Decisions::reconfigure(settings::Vocabulary words) {
     words_ = withoutSecondCopies(std::move(words));
-    router_.reconfigure(words_.settings);
+    router_.reconfigure(shared());
+}
+
+void Decisions::share(int processes) {
+    if (processes == std::exchange(processes_, processes)) return;
+    router_.reconfigure(shared());
+}
+
+// To the module the processes of a gateway are so many routers.
+Settings Decisions::shared() const {
+    Settings settings = words_.settings;
+    settings.routers = std::max(1, settings.routers) * processes_;
+    for (int& routers : settings.routersByZone) routers *= processes_;
+    return settings;
 }
 
 void Decisions::list(Micros now, const settings::BusEvent& event) {
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -71,6 +71,8 @@
     const settings::Vocabulary& words() const { return words_; }
     // In place of those before, of which they are the continuation (settings::continued).
     void reconfigure(settings::Vocabulary words);
+    // So many processes are one gateway now: each takes its part of what is allowed to all.
+    void share(int processes);
 
     void list(Micros now, const settings::BusEvent& event);
     void purge(Micros now, const settings::BusEvent& event);
@@ -92,12 +94,14 @@
     Time moduleTime(Micros now) const { return now + kEpoch; }
     std::vector<Verdict> collect(Micros now);
     void forgetOldPurges(Micros now);
+    Settings shared() const;
 
     // The router's clock starts this far from zero, so that a host that started before this machine did has
     // a time above zero (zero stands for "long ago").
     static constexpr std::chrono::hours kEpoch{24 * 365};
 
     settings::Vocabulary words_;
+    int processes_ = 1;
     Router router_;
     Micros unixAhead_;
     Actions actions_;
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -15,6 +15,8 @@
 class Service {
 public:
     virtual ~Service() = default;
+    virtual void prepare() = 0;         // asks for what is needed before clients are taken
+    virtual bool prepared() const = 0;  // it is there
     virtual void open() = 0;            // begins to listen
     virtual void reload() = 0;          // reads its configuration again; what can't be used changes nothing
     virtual void turn(Micros now) = 0;  // what is due by the clock
@@ -23,6 +25,11 @@
     virtual void drain() = 0;
     virtual void undrain() = 0;
     virtual void leave() = 0;  // the process is to end: health checks are told
+    // As that, but another process serves at the same address: nobody need be told.
+    virtual void handOver() = 0;
+    virtual bool deserted() const = 0;  // no client is connected
+    // So many processes are one gateway now, and keep to its limits together.
+    virtual void share(int processes) = 0;
     virtual void stopListening() = 0;
     virtual std::size_t openRequests() const = 0;
     virtual bool settled() const = 0;  // no answer is owed, and all are with the kernel
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,10 +21,12 @@
 constexpr Micros kLeastDeadline = 3s;
 constexpr Micros kBeforeKill = 200ms;
 constexpr Micros kLeaveTick = 20ms;
+constexpr Micros kLongestStart = 1500ms;  // the platform waits 6 s
 
 }  // namespace
 
-Gateway::Gateway(std::optional<settings::Endpoint> door) : givenDoor_(std::move(door)) {
+Gateway::Gateway(std::optional<settings::Endpoint> door, const char* folder)
+    : folder_(folder), meeting_(loop_, *this), givenDoor_(std::move(door)) {
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
     sigemptyset(&set);
@@ -39,8 +41,31 @@
 
 void Gateway::start() {
     openDoor();  // before the clients' address: it tells that this is not yet open
+    startedAt_ = loop_.now();
+    meeting_.open(folder_);
+    if (!meeting_.problem().empty())
+        std::fprintf(stderr, "lotuslead: no meeting place for a successor: %s\n", meeting_.problem().c_str());
+    for (const auto& service : services_) service->prepare();
+}
+
+// Not before all is in hand: what a predecessor knows, and what the event bus has told since the
+// configuration was written. A bus that says nothing delays the start, and does not prevent it.
+void Gateway::open() {
+    if (phase_ != Phase::starting) return;
+    const bool ready = std::all_of(services_.begin(), services_.end(),
+                                   [](const auto& service) { return service->prepared(); });
+    if ((!ready || meeting_.awaitsHandOver()) && loop_.now() - startedAt_ < kLongestStart) return;
     for (const auto& service : services_) service->open();
     phase_ = Phase::serving;
+    meeting_.serving();
+}
+
+std::string Gateway::handOver() { return ""; }
+void Gateway::takeOver(const std::string&) {}
+
+void Gateway::processesChanged(int count) {
+    for (const auto& service : services_) service->share(count);
+    std::fprintf(stderr, "lotuslead: %d processes are one gateway now\n", count);
 }
 
 int Gateway::run() {
@@ -48,10 +73,14 @@
     while (phase_ != Phase::stopped) {
         Micros until = Micros::max();
         for (const auto& service : services_) until = std::min(until, service->nextTurn());
-        if (phase_ == Phase::leaving) until = std::min(until, loop_.now() + kLeaveTick);
+        if (phase_ == Phase::starting || phase_ == Phase::leaving)
+            until = std::min(until, loop_.now() + kLeaveTick);
         loop_.turn(until);
+        // Only now: a successor that has just said that it serves has been heard.
+        if (std::exchange(leaveAsked_, false)) leave();
         reload();
         for (const auto& service : services_) service->turn(loop_.now());
+        open();
         advance();
     }
     printCounters();
@@ -116,22 +145,26 @@
 }
 
 void Gateway::leave() {
+    if (phase_ == Phase::starting) phase_ = Phase::stopped;
     if (phase_ != Phase::serving && phase_ != Phase::draining) return;
     phase_ = Phase::leaving;
     leavingSince_ = loop_.now();
-    for (const auto& service : services_) service->leave();
-    std::fprintf(stderr, "lotuslead: leaving, %zu requests open\n", openRequests());
+    // Without a successor new connections still come here for a while, and have nowhere else to go.
+    handedOver_ = meeting_.successorServes();
+    for (const auto& service : services_) handedOver_ ? service->handOver() : service->leave();
+    std::fprintf(stderr, "lotuslead: leaving%s, %zu requests open\n", handedOver_ ? " to a successor" : "",
+                 openRequests());
 }
 
 void Gateway::advance() {
     if (phase_ != Phase::leaving) return;
     const Micros passed = loop_.now() - leavingSince_;
-    if (passed < kStillComing) return;
+    if (passed < kStillComing && !handedOver_) return;
     Micros longest = kLeastDeadline;
     bool settled = true;
     for (const auto& service : services_) {
         longest = std::max(longest, service->longestDeadline());
-        settled = settled && service->settled();
+        settled = settled && service->settled() && (!handedOver_ || service->deserted());
     }
     if (!settled && passed < longest + kStillComing - kBeforeKill) return;
     for (const auto& service : services_) service->stopListening();
@@ -153,7 +186,7 @@
         else if (info.ssi_signo == SIGHUP)
             reloadAsked_ = true;
         else
-            leave();
+            leaveAsked_ = true;
     }
     return 0;
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,16 +7,18 @@
 #include "../core/service.hpp"
 #include "../net/loop.hpp"
 #include "../operator/door.hpp"
+#include "meeting.hpp"
 
 namespace lotuslead::gateway {
 
-class Gateway : private net::Handler, private operators::Desk {
+class Gateway : private net::Handler, private operators::Desk, private Meeting::Desk {
 public:
     // Draining is the operators' and has a way back; leaving is what SIGTERM begins, and has none.
     enum class Phase { starting, serving, draining, leaving, stopped };
 
     // `door`: the operators' address, which then holds whatever the configuration says.
-    explicit Gateway(std::optional<settings::Endpoint> door);
+    // `folder`: where this process meets the one that it replaces, and later the one that replaces it.
+    Gateway(std::optional<settings::Endpoint> door, const char* folder);
     ~Gateway() override;
 
     net::Loop& loop() { return loop_; }
@@ -31,7 +33,12 @@
     bool drain() override;
     bool undrain() override;
 
+    std::string handOver() override;
+    void takeOver(const std::string& what) override;
+    void processesChanged(int count) override;
+
     void start();
+    void open();
     void reload();
     void openDoor();
     void leave();
@@ -44,8 +51,11 @@
     net::Descriptor signals_;
     net::Loop::HandlerId signalsId_ = 0;
     Phase phase_ = Phase::starting;
-    bool reloadAsked_ = false;
-    core::Micros leavingSince_{};
+    bool reloadAsked_ = false, leaveAsked_ = false;
+    bool handedOver_ = false;  // a successor serves while this process leaves
+    core::Micros startedAt_{}, leavingSince_{};
+    const char* folder_;
+    Meeting meeting_;
     std::optional<settings::Endpoint> givenDoor_, doorAt_;
     std::unique_ptr<operators::Door> door_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -33,15 +33,17 @@
 int main() {
     try {
         const char* platformFile = variable("LB_CONFIG");
+        const char* listening = variable("LB_SOCKET_FD");
         const char* repositoryFile = variable("LB_REPOSITORY");
         if (!platformFile && !repositoryFile) throw settings::Malformed("variable LB_CONFIG is not set");
         std::optional<settings::Endpoint> door;
         if (const char* given = variable("LB_OPERATOR")) door = settings::readEndpoint(given, "LB_OPERATOR");
-        gateway::Gateway gateway(door);
+        gateway::Gateway gateway(door, variable("TMPDIR"));
         if (platformFile)
-            gateway.add(std::make_unique<platform::Service>(gateway.loop(), [=] {
-                return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile));
-            }));
+            gateway.add(std::make_unique<platform::Service>(
+                gateway.loop(),
+                [=] { return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile)); },
+                listening ? listening : ""));
         if (repositoryFile)
             gateway.add(std::make_unique<repository::Service>(gateway.loop(), [=] {
                 return settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile));
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <system_error>
 #include <utility>
 
@@ -237,21 +238,54 @@
     return EPOLLIN;
 }
 
-Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted, Priority priority)
-    : loop_(loop),
-      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
-      accepted_(std::move(accepted)) {
+namespace {
+
+Descriptor listenOn(const settings::Endpoint& at) {
+    Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1;
     const sockaddr_in address = addressOf(at);
-    if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-        ::listen(fd_.get(), 1024) != 0)
+    if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        ::listen(fd.get(), 1024) != 0)
         throw std::system_error(errno, std::generic_category(),
                                 "cannot listen on " + at.host + ":" + std::to_string(at.port));
-    id_ = loop_.add(fd_.get(), EPOLLIN, *this, priority);
+    return fd;
 }
 
+}  // namespace
+
+Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at) {
+    int fd = -1;
+    const auto read = std::from_chars(number.data(), number.data() + number.size(), fd);
+    if (read.ec != std::errc{} || read.ptr != number.data() + number.size() || fd < 0)
+        throw settings::Malformed("'" + number + "' is no descriptor");
+    int listens = 0, kind = 0;
+    socklen_t size = sizeof listens;
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
+        ::getsockopt(fd, SOL_SOCKET, SO_TYPE, &kind, &size) != 0 || kind != SOCK_STREAM)
+        throw settings::Malformed("descriptor " + number + " is no listening socket");
+    sockaddr_in is{};
+    const sockaddr_in wanted = addressOf(at);
+    size = sizeof is;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&is), &size) != 0 || is.sin_family != AF_INET ||
+        is.sin_addr.s_addr != wanted.sin_addr.s_addr || (at.port != 0 && is.sin_port != wanted.sin_port))
+        throw settings::Malformed("descriptor " + number + " does not listen on the field 'listen'");
+    // Without blocking for all that share it: who loses a connection to another process must not wait.
+    if (::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0 || ::fcntl(fd, F_SETFL, O_NONBLOCK) != 0)
+        throw settings::Malformed("descriptor " + number + " cannot be set up");
+    return Descriptor(fd);
+}
+
+Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted, Priority priority)
+    : Listener(loop, listenOn(at), std::move(accepted), priority) {}
+
+Listener::Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority)
+    : loop_(loop),
+      fd_(std::move(listening)),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      accepted_(std::move(accepted)),
+      id_(loop_.add(fd_.get(), EPOLLIN, *this, priority)) {}
+
 Listener::~Listener() { loop_.remove(id_, fd_.get()); }
 
 std::uint16_t Listener::port() const {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -74,12 +74,19 @@
     Loop::TimerKey timer_{};
 };
 
+// A listening socket that was inherited; throws settings::Malformed, with the reason alone, where the
+// descriptor is not one or has another address (port 0 stands for any).
+Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at);
+
 // Accepts connections until EAGAIN, and goes on when descriptors run out.
 class Listener : public Handler {
 public:
     using Accepted = std::function<void(Descriptor)>;
     Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted,
              Priority priority = Priority::usual);
+    // One that listens already. Other processes may share it: a connection that was there may be gone, and it
+    // is only ever closed, never shut down.
+    Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority = Priority::usual);
     ~Listener() override;
     std::uint16_t port() const;
     std::uint32_t ready(std::uint32_t events) override;
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -12,7 +12,8 @@
 
 // Events count as told after 7 s whether they arrived or not: a poll that hangs must be noticed well before.
 constexpr net::Micros kHold = 1s;
-constexpr net::Micros kSilent = 500ms;  // beyond the hold: the bus or the way to it has gone
+constexpr net::Micros kFirstHold = 1ms;  // a gateway that starts takes no client before it
+constexpr net::Micros kSilent = 500ms;   // beyond the hold: the bus or the way to it has gone
 constexpr net::Micros kConnect = 400ms;
 constexpr net::Micros kBetween = 50ms;  // from the second failure on: at once would be a busy loop
 constexpr net::HttpParser::Limits kLimits{16 * 1024, 1024 * 1024};  // parsed, it takes several times as much
@@ -71,10 +72,11 @@
 
 void BusReader::ask() {
     ++counters_.polls;
+    const net::Micros hold = heard_ ? kHold : kFirstHold;
     stream_->write("GET /bus/read?from=" + std::to_string(offset_) +
-                   "&hold=" + std::to_string(kHold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus_->host +
-                   ":" + std::to_string(bus_->port) + "\r\n\r\n");
-    arm(kHold + kSilent, [this] { reconnect("silent"); });
+                   "&hold=" + std::to_string(hold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus_->host + ":" +
+                   std::to_string(bus_->port) + "\r\n\r\n");
+    arm(hold + kSilent, [this] { reconnect("silent"); });
 }
 
 void BusReader::streamOpened() { ask(); }
@@ -97,6 +99,7 @@
         return false;
     }
     failures_ = 0;
+    heard_ = true;
     if (parser_.head().keepAlive())
         ask();
     else
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -26,6 +26,8 @@
     void moveTo(const std::optional<settings::Endpoint>& bus);
     // An event that came by another way, such as a configuration: applied if it is a later one.
     void take(const settings::BusBatch& batch);
+    // It has answered since the start, or there is none.
+    bool heard() const { return heard_ || !bus_; }
     const Counters& counters() const { return counters_; }
 
 private:
@@ -48,6 +50,7 @@
     std::shared_ptr<net::Stream> stream_;
     std::optional<net::Loop::TimerKey> timer_;
     int failures_ = 0;  // in a row
+    bool heard_ = false;
 };
 
 }  // namespace lotuslead::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kLargestAnswer = 240'000;
 constexpr std::size_t kLargestBody = 48'000;
+constexpr std::size_t kProcessBytes = 10 * 1024 * 1024;  // of a process at rest, with all that it knows
 constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
@@ -29,7 +30,9 @@
 // Operators send clients away: 4 s after that nobody is to be held.
 constexpr Micros kSweep = 50ms;
 constexpr Micros kDrainRefuses = 1900ms;
-constexpr Micros kDrainEnds = 3500ms;
+// Where a connection has been refusing for so long, what is still open on it is failed: one slow request
+// would have hundreds refused behind it.
+constexpr Micros kDrainEnds = 2300ms;
 constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
 constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
 constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
@@ -241,7 +244,7 @@
         }
         if (words[0] != "CHECK") return false;
         ++owner_.counters_.checks;
-        answer(words[1], owner_.leaving_ || owner_.drainingSince_ ? "LEAVING" : "PASS", "-", {});
+        answer(words[1], owner_.saysNo() ? "LEAVING" : "PASS", "-", {});
         return true;
     }
 
@@ -379,18 +382,22 @@
 
 Front::Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration)
     : loop_(loop), requests_(requests), words_(configuration.words), address_(configuration.listen) {
-    takeLimits(configuration.limits);
+    limits_ = configuration.limits;
+    takeLimits();
 }
 
-void Front::takeLimits(const settings::Limits& limits) {
-    mostClients_ = static_cast<std::size_t>(limits.sockets) / 3;  // the rest is for stores
-    mostBytes_ = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024 * 5 / 8;
+void Front::takeLimits() {
+    const auto processes = static_cast<std::size_t>(processes_);
+    mostClients_ = static_cast<std::size_t>(limits_.sockets) / 3 / processes;  // the rest is for stores
+    const std::size_t all = static_cast<std::size_t>(limits_.memoryMb) * 1024 * 1024;
+    mostBytes_ = (all - std::min(all / 2, kProcessBytes * processes)) / processes * 3 / 4;
 }
 
 void Front::reconfigure(const settings::Configuration& configuration) {
     if (listener_ && !(configuration.listen == address_)) listener_ = listenOn(configuration.listen);
     address_ = configuration.listen;
-    takeLimits(configuration.limits);
+    limits_ = configuration.limits;
+    takeLimits();
 }
 
 Front::~Front() {
@@ -398,7 +405,14 @@
     for (const auto& [key, client] : clients_) client->abandon();
 }
 
-void Front::open() { listener_ = listenOn(address_); }
+void Front::open() {
+    if (!inherited_) {
+        listener_ = listenOn(address_);
+        return;
+    }
+    listener_ = std::make_unique<net::Listener>(loop_, std::move(inherited_),
+                                                [this](net::Descriptor fd) { accept(std::move(fd)); });
+}
 
 std::unique_ptr<net::Listener> Front::listenOn(const settings::Endpoint& address) {
     return std::make_unique<net::Listener>(loop_, address,
@@ -411,6 +425,19 @@
     sweep();
 }
 
+bool Front::saysNo() const { return leaving_ || (drainingSince_ && !handedOver_); }
+
+void Front::share(int processes) {
+    processes_ = processes;
+    takeLimits();
+}
+
+void Front::handOver() {
+    stopListening();
+    handedOver_ = true;
+    drain();
+}
+
 void Front::undrain() {
     drainingSince_.reset();
     if (sweep_) loop_.cancel(*sweep_);
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -28,6 +28,9 @@
     ~Front();
 
     void open();  // starts to listen
+    // Uses this listening socket from open() on.
+    void inherit(net::Descriptor listening) { inherited_ = std::move(listening); }
+    void share(int processes);  // of the limits
     // Other limits, and perhaps another address; throws, with nothing changed, where that can't be listened
     // on.
     void reconfigure(const settings::Configuration& configuration);
@@ -37,6 +40,10 @@
     // refused from kDrainRefuses on. The few connections that are then still there end before kDrainEnds.
     void drain();
     void undrain();
+    // Another process listens on the same socket: this one stops, and ends its connections as in a drain,
+    // but says no to nobody.
+    void handOver();
+    bool deserted() const { return clients_.empty(); }
     bool idle() const;  // nothing is owed and all answers are with the kernel
     std::size_t clients() const { return clients_.size(); }
     std::uint16_t port() const { return listener_->port(); }
@@ -51,17 +58,22 @@
     void forget(Client* client);
     void sweep();
     bool refuses() const;
-    void takeLimits(const settings::Limits& limits);
+    bool saysNo() const;
+    void takeLimits();
     std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
     net::Loop& loop_;
     core::Requests& requests_;
     const settings::Vocabulary& words_;
     settings::Endpoint address_;
+    settings::Limits limits_;
+    int processes_ = 1;
+    net::Descriptor inherited_;
     std::size_t mostClients_ = 0;
     std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read
     bool leaving_ = false;
+    bool handedOver_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -28,10 +28,13 @@
 public:
     using Source = std::function<Configuration()>;  // throws settings::Malformed
 
+    void prepare() override {
+        bus_.take(settings::readBatch(baseOf(configuration_).known));
+        bus_.moveTo(baseOf(configuration_).bus);
+    }
+    bool prepared() const override { return bus_.heard(); }
     void open() override {
         const settings::Configuration& base = baseOf(configuration_);
-        bus_.take(settings::readBatch(base.known));
-        bus_.moveTo(base.bus);
         front_.open();
         std::fprintf(stderr, "%s: %s on %s:%u\n", base.name.c_str(), opened_, base.listen.host.c_str(),
                      front_.port());
@@ -61,6 +64,13 @@
     void drain() override { front_.drain(); }
     void undrain() override { front_.undrain(); }
     void leave() override { front_.leave(); }
+    void handOver() override { front_.handOver(); }
+    bool deserted() const override { return front_.deserted(); }
+    void share(int processes) override {
+        front_.share(processes);
+        carrier_.share(processes);
+        decisions_.share(processes);
+    }
     void stopListening() override { front_.stopListening(); }
     std::size_t openRequests() const override { return requests_.open(); }
     bool settled() const override { return requests_.open() == 0 && front_.idle(); }
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -2,8 +2,15 @@
 
 namespace lotuslead::platform {
 
-Service::Service(net::Loop& loop, Source source)
-    : FrontService(loop, std::move(source), "serving", core::Requests::PurgedMeanwhile::serve) {}
+Service::Service(net::Loop& loop, Source source, const std::string& listening)
+    : FrontService(loop, std::move(source), "serving", core::Requests::PurgedMeanwhile::serve) {
+    if (listening.empty()) return;
+    try {
+        front_.inherit(net::inheritedListener(listening, configuration_.listen));
+    } catch (const settings::Malformed& problem) {
+        throw settings::Malformed(std::string("variable LB_SOCKET_FD: ") + problem.what());
+    }
+}
 
 void Service::printOwnCounters(const std::string& name) const {
     const auto& f = front_.counters();
--- a/src/platform/service.hpp
+++ b/src/platform/service.hpp
@@ -9,7 +9,8 @@
 
 class Service : public FrontService<settings::Configuration, Front, Stores> {
 public:
-    Service(net::Loop& loop, Source source);
+    // `listening`: the number of an inherited socket for clients; empty: it opens its own.
+    Service(net::Loop& loop, Source source, const std::string& listening);
 
 private:
     void printOwnCounters(const std::string& name) const override;
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -398,10 +398,20 @@
         connectTimeout_ = std::chrono::duration_cast<Micros>(words.connectTimeout);
     if (words.idleClose.count() > 0)
         idleClose_ = std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10;
+    sockets_ = static_cast<std::size_t>(configuration.limits.sockets);
+    share(processes_);
     mayProbe_ = words.settings.mayProbe;
     if (words.streamsPerConnection > 0) streams_ = static_cast<std::size_t>(words.streamsPerConnection);
 }
 
+// What is left beside the clients' third, less what the process needs for itself and for operators.
+void Stores::share(int processes) {
+    processes_ = processes;
+    const std::size_t rest = sockets_ - sockets_ / 3;
+    const std::size_t own = std::min<std::size_t>(64, rest / 4);
+    mostConnections_ = std::max<std::size_t>(8, (rest - own) / static_cast<std::size_t>(processes));
+}
+
 Stores::~Stores() = default;
 
 void Stores::list(const settings::BusEvent& event) {
@@ -458,7 +468,9 @@
         if (!place || link->load() < place->load()) place = link;
     }
     if (best) return best;
-    if (silent && store.links.size() >= kMostLinks) return silent;
+    const bool full = connections() >= mostConnections_;
+    if (silent && (full || store.links.size() >= kMostLinks)) return silent;
+    if (full) throw settings::Malformed("has no connection, and no descriptor is left for one");
     best = std::make_shared<Link>(*this, host, settings::readEndpoint(store.address, "address"));
     store.links.push_back(best);
     return best;
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -32,6 +32,7 @@
     void listen(Callbacks callbacks) { callbacks_ = std::move(callbacks); }
     void list(const settings::BusEvent& event);
     void reconfigure(const settings::Configuration& configuration);
+    void share(int processes);  // of the descriptors
 
     void send(core::Micros now, const core::Request& request, const core::Verdict& send) override;
     bool cancel(core::Micros now, RequestId request, int attempt) override;
@@ -72,6 +73,8 @@
     core::Micros unixAhead_;
     core::Micros connectTimeout_{}, idleClose_{};
     std::size_t streams_ = 0;
+    std::size_t sockets_ = 0, mostConnections_ = 0;
+    int processes_ = 1;
     bool mayProbe_ = false;
     std::uint64_t lastEcho_ = 0;
     Callbacks callbacks_;
--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -432,6 +432,13 @@
     const auto sockets = static_cast<std::size_t>(limits.sockets);
     mostClients_ = std::min(sockets / 3, sockets - std::min(sockets / 2, kSparedDescriptors));
     mostBytes_ = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024 / 2;
+    mostClients_ /= static_cast<std::size_t>(processes_);
+    mostBytes_ /= static_cast<std::size_t>(processes_);
+}
+
+void Front::share(int processes) {
+    processes_ = processes;
+    takeLimits(configuration_.base.limits);
 }
 
 Front::~Front() {
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -25,6 +25,7 @@
     ~Front();
 
     void open();
+    void share(int processes);  // of the limits
     // Other limits and routes are read from the configuration that it was given; throws like the platform's
     // front.
     void reconfigure(const settings::RepositoryConfiguration& configuration);
@@ -33,6 +34,11 @@
     // As at the platform's front: what still comes is served, and refused later on. Downloads go on.
     void drain();
     void undrain();
+    void handOver() {
+        stopListening();
+        drain();
+    }
+    bool deserted() const { return clients_.empty(); }
     bool idle() const;
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
@@ -46,12 +52,14 @@
     void sweep();
     bool refuses() const;
     void takeLimits(const settings::Limits& limits);
+
     std::unique_ptr<net::Listener> listenOn(const settings::Endpoint& address);
 
     net::Loop& loop_;
     core::Requests& requests_;
     const settings::RepositoryConfiguration& configuration_;
     std::size_t mostClients_ = 0;
+    int processes_ = 1;
     std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;    // bytes of answers that clients have not yet read
     std::size_t expected_ = 0;  // bytes that the requests in hand may yet bring
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -146,6 +146,7 @@
         start();
     }
     std::uint16_t port() const { return port_; }
+    int descriptor() const { return fd_; }  // for a program to inherit, where no script takes connections
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
 private:
@@ -306,8 +307,9 @@
 public:
     // `descriptors`: how many the system lets it have.
     using Variables = std::vector<std::pair<std::string, std::string>>;
+    // `socket` is inherited as descriptor 5.
     explicit Program(const std::string& configuration, const char* variable = "LB_CONFIG",
-                     rlim_t descriptors = 1024, const Variables& variables = {}) {
+                     rlim_t descriptors = 1024, const Variables& variables = {}, int socket = -1) {
         char folder[] = "/tmp/lotuslead-test-XXXXXX";
         folder_ = ::mkdtemp(folder);
         std::ofstream(folder_ + "/config.json") << configuration;
@@ -319,13 +321,15 @@
             ::setenv(variable, (folder_ + "/config.json").c_str(), 1);
             for (const auto& [name, value] : variables) ::setenv(name.c_str(), value.c_str(), 1);
             if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(126);
+            if (socket >= 0 && (::dup2(socket, 5) != 5 || ::setenv("LB_SOCKET_FD", "5", 1) != 0))
+                ::_exit(125);
             ::execl(LOTUSLEAD_PROGRAM, LOTUSLEAD_PROGRAM, nullptr);
             ::_exit(127);
         }
     }
     explicit Program(const json& configuration, const char* variable = "LB_CONFIG", rlim_t descriptors = 1024,
-                     const Variables& variables = {})
-        : Program(configuration.dump(), variable, descriptors, variables) {}
+                     const Variables& variables = {}, int socket = -1)
+        : Program(configuration.dump(), variable, descriptors, variables, socket) {}
     ~Program() {
         if (pid_ > 0) {
             ::kill(pid_, SIGKILL);
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -1,4 +1,6 @@
 // What operators do with a gateway in service: the door, drains and the way back.
+#include <filesystem>
+
 #include "loopback.hpp"
 
 namespace {
@@ -201,9 +203,136 @@
     assert(pulled.count() == 3);
 }
 
+// A folder that two processes share, and the platform's listening socket.
+class Place {
+public:
+    Place() {
+        char name[] = "/tmp/lotuslead-test-XXXXXX";
+        folder_ = ::mkdtemp(name);
+    }
+    ~Place() { std::filesystem::remove_all(folder_); }
+    const std::string& folder() const { return folder_; }
+    std::uint16_t port() const { return socket_.port(); }
+    std::unique_ptr<Program> start(json settings) const {
+        settings["listen"] = socket_.address();
+        return std::make_unique<Program>(withDoor(settings), "LB_CONFIG", 1024,
+                                         Program::Variables{{"TMPDIR", folder_}}, socket_.descriptor());
+    }
+
+private:
+    std::string folder_;
+    Peer socket_{nullptr, 256};
+};
+
+void aSuccessorTakesOverAndNothingEndsAtTheDoor() {
+    Fleet fleet;
+    Mark pulled;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        if (words[3] != "slow") serving("served")(c, words);
+    }));
+    Place place;
+    const json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    auto older = place.start(settings);
+    older->awaitLog("serving on");
+    Connection rests(place.port()), busy(place.port());
+    call(rests, "1");
+    assert(rests.readResp()[1] == "SERVED");
+    call(busy, "1", "", "page", "slow");
+    pulled.await(2);
+
+    auto newer = place.start(settings);
+    newer->awaitLog("serving on");
+    for (const auto* p : {older.get(), newer.get()}) p->awaitLog("2 processes are one gateway now");
+    older->signal(SIGTERM);
+    older->awaitLog("leaving to a successor, 1 requests open");
+    // At rest it is closed; a busy one may go on, and checks there speak for the gateway.
+    assert(rests.closed());
+    busy.sendResp({"CHECK", "2", ""});
+    assert(busy.readResp()[1] == "PASS");
+    call(busy, "3");
+    assert(busy.readResp()[1] == "SERVED");
+    for (int i = 0; i < 50; ++i) {
+        Connection one(place.port());
+        call(one, "1");
+        assert(one.readResp()[1] == "SERVED");
+    }
+    busy.sendResp({"CANCEL", "1"});
+    assert(busy.closed());
+    assert(older->exitCode() == 0);
+    newer->awaitLog("1 processes are one gateway now");
+    assert(older->log().find("taken=3 served=2") != std::string::npos);
+    assert(operate(newer->door(), "GET /ready") == 200);
+    // And again.
+    auto third = place.start(settings);
+    third->awaitLog("serving on");
+    newer->signal(SIGTERM);
+    assert(newer->exitCode() == 0);
+    assert(check(place.port()) == "PASS");
+}
+
+void aStartNeedsNoPredecessorAndTakesNoClientBeforeTheBusHasAnswered() {
+    Fleet fleet;
+    Peer cache(store(serving("new")));
+    Mark asked, go;
+    std::atomic<int> polls{0};
+    json later = topology({host("cache-1", cache.address())});
+    later["offset"] = 2;
+    Peer bus([&](Connection& c) {
+        while (!c.readHead().empty()) {
+            asked.raise();
+            go.await(1);
+            const std::string body = json{{"offset", 2}, {"batch", {later}}}.dump();
+            c.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            if (++polls > 1) return;
+        }
+    });
+    Place place;
+    // What a dead process left, and nonsense in its place, do no harm.
+    const std::string left = place.folder() + "/lotuslead-1.sock";
+    std::ofstream(left) << "left";
+    json settings = configuration(fleet.with({}));
+    settings["bus"] = bus.address();
+    auto program = place.start(settings);
+    asked.await(1);
+    const std::uint16_t door = program->door();
+    assert(operate(door, "GET /ready") == 503 && operate(door, "POST /drain") == 409);
+    Connection waits(place.port());  // in the platform's socket
+    call(waits, "1");
+    go.raise();
+    assert((waits.readResp() == std::vector<std::string>{"1", "SERVED", "-", "new"}));
+    assert(operate(door, "GET /ready") == 200);
+    program->signal(SIGKILL);
+    program->exitCode();
+    auto next = place.start(configuration(fleet.with({host("cache-1", cache.address())})));
+    next->awaitLog("serving on");
+    assert(next->log().find("processes are one gateway") == std::string::npos);
+    assert(check(place.port()) == "PASS");
+}
+
+void whatIsNoListeningSocketOfThisAddressIsToldAtTheStart() {
+    const json settings = configuration({});
+    const auto refused = [](Program&& program) {
+        assert(program.exitCode() == 2);
+        return program.log();
+    };
+    const std::string about = "lotuslead: bad configuration: variable LB_SOCKET_FD: ";
+    for (const char* number : {"x", "77", "2"})
+        assert(refused(Program(settings, "LB_CONFIG", 1024, {{"LB_SOCKET_FD", number}})).rfind(about, 0) ==
+               0);
+    const Peer socket(nullptr);
+    json elsewhere = settings;
+    elsewhere["listen"] = "127.0.0.1:1";
+    assert(refused(Program(elsewhere, "LB_CONFIG", 1024, {}, socket.descriptor())) ==
+           about + "descriptor 5 does not listen on the field 'listen'\n");
+}
+
 }  // namespace
 
 int main() {
+    aSuccessorTakesOverAndNothingEndsAtTheDoor();
+    aStartNeedsNoPredecessorAndTakesNoClientBeforeTheBusHasAnswered();
+    whatIsNoListeningSocketOfThisAddressIsToldAtTheStart();
     nothingIsTakenFromABrokenFile();
     anOpenRequestKeepsTheRulesItCameUnder();
     theDoorAnswersWhoeverElseStandsThere();
