Take all sizes from the limits, and let no half-written crowd keep clients out

- Lines at fault: settings.cpp refused under 32 MB; front.cpp, roomForOne counted every open call with 240 KB (43 calls at 24 MB).
A process at rest holds 4.3 MB (measured).
- front.cpp, makeRoom passed over connections within their first message, so that a half-written crowd had all places for 2.5 s: the one that has said nothing for longest goes now.
- A request may take over 2 s to write: 2.8 s from connecting now, of the 3 s that bad clients are owed.
Ruled out: CPU (0.05 s in the worst second of a share of 0.2).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,6 +1,7 @@
 #include "front.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -17,15 +18,20 @@
 
 constexpr std::size_t kLargestAnswer = 240'000;
 constexpr std::size_t kLargestBody = 48'000;
-constexpr std::size_t kProcessBytes = 10 * 1024 * 1024;  // of a process at rest, with all that it knows
+constexpr std::size_t kProcessBytes = 8 * 1024 * 1024;   // of a process at rest, with all that it knows
 constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
+constexpr std::size_t kClientsShare = 16;                // of them may be so far behind
+constexpr std::size_t kSlow = 256 * 1024;                // unread answers of one that reads slowly
+constexpr double kFirstMean = 60'000;                    // of answers, before any: a quarter of the largest
+constexpr double kAnswerWeight = 0.02, kSpreads = 3;
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
 // Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
-constexpr Micros kFirstMessage = 2500ms;   // from connecting to the first whole message
-constexpr Micros kHalfMessage = 2500ms;    // from the first byte of a later one to its last
+constexpr Micros kFirstMessage = 2800ms;   // from connecting to the first whole message
+constexpr Micros kHalfMessage = 2800ms;    // from the first byte of a later one to its last
 constexpr Micros kGentle = 500ms;          // for what was answered to be read before the close
 constexpr Micros kSilentYoung = 200ms;     // a new connection may still be about to ask
+constexpr Micros kStalledYoung = 50ms;     // and one that writes may be between two pieces
 constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
 // Operators send clients away: 4 s after that nobody is to be held.
 constexpr Micros kSweep = 50ms;
@@ -79,10 +85,11 @@
     bool idle() const { return open_.empty() && ahead_.empty() && stream_.unsent() == 0; }
     // Idle, has been used, and nothing of a further call has come, read or unread.
     bool resting() const { return idle() && used_ && !retired_ && !parser_.midMessage() && stream_.quiet(); }
-    bool silent() const { return !used_ && ahead_.empty() && !parser_.midMessage() && stream_.quiet(); }
+    bool silent() const { return !used_ && ahead_.empty() && stream_.quiet(); }
+    bool half() const { return parser_.midMessage(); }
     bool fresh() const { return !used_; }
-    bool young() const { return owner_.loop_.now() - connectedAt_ < kSilentYoung; }
-    Micros lastUsed() const { return lastUsed_; }
+    bool young() const { return owner_.loop_.now() - lastUsed_ < (half() ? kStalledYoung : kSilentYoung); }
+    Micros lastUsed() const { return lastUsed_; }  // before its first message: when something last came
 
     // Clients are to go: an end where nothing is open, unread or still on its way to the client, which then
     // sees it before it asks again. `since` is when refusals began, `last`: it is time for those that were
@@ -124,6 +131,7 @@
     // ----- input -----
 
     bool streamData(std::string_view data) override {
+        if (!used_) lastUsed_ = owner_.loop_.now();
         ahead_.append(data);
         takeMessages();
         return true;
@@ -212,7 +220,7 @@
                 failOpen();
                 return endIfAnswered();
             }
-            if (!ahead_.empty() || stream_.unsent() > kClientBacklog)
+            if (!ahead_.empty() || stream_.unsent() > owner_.clientBacklog())
                 return watch(kHalfMessage);  // it waits for us
             ++(used_ ? owner_.counters_.halfMessages : owner_.counters_.silent);
             retired_ = true;
@@ -286,7 +294,7 @@
             strike();
             return true;
         }
-        if (!owner_.roomForOne()) {
+        if (!owner_.roomForOne(counted_)) {
             ++owner_.counters_.noRoom;
             answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
             return true;
@@ -322,9 +330,13 @@
         release(tag);
         if (reply.word == Reply::Word::served) {
             strikes_ = 0;
-            if (reply.payload.unchanged)
+            owner_.learnAnswer(reply.payload.body.size());
+            if (reply.payload.unchanged) {
                 answer(tag, "SERVED", "keep=1", {});
-            else
+            } else if (owner_.unsent_ + reply.payload.body.size() > owner_.mostBytes_) {
+                ++owner_.counters_.dropped;
+                answer(tag, "ERR", "-", {});
+            } else
                 answer(tag, "SERVED", "-", std::move(reply.payload.body));
         } else if (reply.word == Reply::Word::refused) {
             const auto pause = reply.pause.count() / 1000;
@@ -358,7 +370,7 @@
     void settle() {
         count(stream_.unsent() + ahead_.size() + parser_.held());
         if (ending_) return;
-        stream_.pauseReading(!ahead_.empty() || stream_.unsent() > kClientBacklog);
+        stream_.pauseReading(!ahead_.empty() || stream_.unsent() > owner_.clientBacklog());
     }
     void count(std::size_t unsent) {
         owner_.unsent_ += unsent;
@@ -472,31 +484,46 @@
 }
 
 // Closed for a new one is, of those without an open request, first who has long said nothing since it
-// connected, then who was used longest ago (a client that does need it connects again), then who is merely
-// new. Connections that have not said a word hold at most half of the places, or a crowd of them would push
-// the others out.
+// connected, then who has stopped within its first message, then who was used longest ago (a client that does
+// need it connects again), then who is merely new. Connections that have not yet asked for anything hold at
+// most half of the places, or a crowd of them would push the others out.
 bool Front::makeRoom() {
-    Client *mute = nullptr, *resting = nullptr;
+    Client *mute = nullptr, *half = nullptr, *resting = nullptr;
     std::size_t fresh = 0;
     for (const auto& [key, client] : clients_) {
-        const auto older = [&, c = client.get()](const Client* than) {
-            return !than || c->lastUsed() < than->lastUsed();
-        };
         if (client->fresh()) ++fresh;
-        if (client->fresh() ? older(mute) && client->silent() : older(resting) && client->resting())
-            (client->fresh() ? mute : resting) = client.get();
+        Client*& place = !client->fresh() ? resting : client->half() ? half : mute;
+        const bool older = !place || client->lastUsed() < place->lastUsed();
+        if (older && (client->fresh() ? client->silent() : client->resting())) place = client.get();
     }
+    if (!mute || (mute->young() && half && !half->young())) mute = half;
     const bool muteFirst = mute && (!resting || !mute->young() || 2 * fresh >= mostClients_);
     Client* one = muteFirst ? mute : resting;
     if (!one) return false;
-    ++(one == mute ? counters_.silent : counters_.closedIdle);
+    ++(one == resting ? counters_.closedIdle : one->half() ? counters_.halfMessages : counters_.silent);
     one->abandon();
     forget(one);
     return true;
 }
 
-// Every request in hand may yet bring the largest answer there is.
-bool Front::roomForOne() const { return (requests_.open() + 1) * kLargestAnswer + unsent_ <= mostBytes_; }
+// What is held, and what the requests in hand may yet bring: as large as answers have been of late, and one
+// of them the largest there is. Who reads slowly leaves half of it to the others.
+bool Front::roomForOne(std::size_t backlog) const {
+    const double mean = meanAnswer_ > 0 ? meanAnswer_ : kFirstMean;
+    const auto open = static_cast<double>(requests_.open() + 1);
+    const double coming = open * mean + kSpreads * std::sqrt(open) * spread_ + kLargestAnswer;
+    const auto most = static_cast<double>(backlog > kSlow ? mostBytes_ / 2 : mostBytes_);
+    return coming + static_cast<double>(unsent_) <= most;
+}
+
+void Front::learnAnswer(std::size_t bytes) {
+    const auto size = static_cast<double>(bytes);
+    if (meanAnswer_ <= 0) meanAnswer_ = kFirstMean;
+    spread_ += kAnswerWeight * (std::abs(size - meanAnswer_) - spread_);
+    meanAnswer_ += kAnswerWeight * (size - meanAnswer_);
+}
+
+std::size_t Front::clientBacklog() const { return std::min(kClientBacklog, mostBytes_ / kClientsShare); }
 
 bool Front::idle() const {
     return std::all_of(clients_.begin(), clients_.end(),
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -20,8 +20,8 @@
 public:
     struct Counters {
         std::uint64_t connections = 0, turnedAway = 0, closedIdle = 0, silent = 0, halfMessages = 0,
-                      malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, checks = 0,
-                      drained = 0, drainRefused = 0;
+                      malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, dropped = 0,
+                      checks = 0, drained = 0, drainRefused = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration);
@@ -54,8 +54,10 @@
 
     void accept(net::Descriptor fd);
     bool makeRoom();
-    bool roomForOne() const;
+    bool roomForOne(std::size_t backlog) const;
     void forget(Client* client);
+    void learnAnswer(std::size_t bytes);
+    std::size_t clientBacklog() const;
     void sweep();
     bool refuses() const;
     bool saysNo() const;
@@ -71,7 +73,9 @@
     net::Descriptor inherited_;
     std::size_t mostClients_ = 0;
     std::size_t mostBytes_ = 0;
-    std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read
+    std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read, and of calls not yet taken
+    // Of answers of late: their mean, and how far they lie from it.
+    double meanAnswer_ = 0, spread_ = 0;
     bool leaving_ = false;
     bool handedOver_ = false;
     std::optional<core::Micros> drainingSince_;
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -26,6 +26,7 @@
                         {"beyond_bound", f.beyondBound},
                         {"retired", f.retired},
                         {"no_room", f.noRoom},
+                        {"dropped", f.dropped},
                         {"checks", f.checks},
                         {"drained", f.drained},
                         {"drain_refused", f.drainRefused},
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -373,10 +373,14 @@
     if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size())
         throw Malformed("field 'seed' is not hexadecimal");
     const json& limits = objectOrEmpty(root, "limits");
-    result.limits.memoryMb = static_cast<int>(wholeOr(limits, "memory_mb", result.limits.memoryMb));
-    result.limits.sockets = static_cast<int>(wholeOr(limits, "sockets", result.limits.sockets));
-    if (result.limits.memoryMb < 32) throw Malformed("field 'limits.memory_mb' is under 32");
-    if (result.limits.sockets < 64) throw Malformed("field 'limits.sockets' is under 64");
+    constexpr std::int64_t kMost = 1'000'000;
+    result.limits.memoryMb =
+        static_cast<int>(std::min(wholeOr(limits, "memory_mb", result.limits.memoryMb), kMost));
+    result.limits.sockets =
+        static_cast<int>(std::min(wholeOr(limits, "sockets", result.limits.sockets), kMost));
+    // Below these a process has no room for its own. The upper bounds only keep sums from running over.
+    if (result.limits.memoryMb < 12) throw Malformed("field 'limits.memory_mb' is under 12");
+    if (result.limits.sockets < 48) throw Malformed("field 'limits.sockets' is under 48");
     if (const std::string bus = textOr(root, "bus", ""); !bus.empty()) result.bus = readEndpoint(bus, "bus");
     if (const std::string door = textOr(root, "operator", ""); !door.empty())
         result.operatorDoor = readEndpoint(door, "operator");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -354,6 +354,38 @@
     assert(asked.readResp()[1] == "PASS");
 }
 
+void aHalfWrittenCrowdKeepsNobodyOutNorDoSmallLimits() {
+    Fleet fleet;
+    Peer cache(store(serving("served")));
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["limits"] = {{"cores", 1.0}, {"memory_mb", 24}, {"sockets", 64}};  // 21 of them for clients
+    Program program(settings);
+    const std::uint16_t port = program.port();
+    std::vector<std::unique_ptr<Connection>> crowd;
+    const auto comes = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            crowd.push_back(std::make_unique<Connection>(port));
+            crowd.back()->send("*3\r\n$5\r\nCHE");
+        }
+    };
+    comes(40);
+    Connection slow(port);  // a call that takes over 2 s to write, while the crowd goes on
+    std::string text = "*5\r\n$4\r\nCALL\r\n$1\r\n7\r\n$4\r\npage\r\n";
+    const std::string fields = "trace=00000000000000b1,patience=8000,entity=" + kEntity;
+    text += "$" + std::to_string(fields.size()) + "\r\n" + fields + "\r\n$0\r\n\r\n";
+    for (std::size_t i = 0; i < text.size(); i += 2) {
+        slow.send(text.substr(i, 2));
+        std::this_thread::sleep_for(2200ms / (text.size() / 2));
+        if (i % 16 == 0) comes(4);
+        if (i % 32) continue;
+        Connection usual(port);
+        call(usual, "1");
+        assert(usual.readResp()[1] == "SERVED");
+    }
+    assert((slow.readResp() == std::vector<std::string>{"7", "SERVED", "-", "served"}));
+    for (const auto& c : crowd) assert(c->closed());
+}
+
 void resetsOfNewConnectionsAreNoVerdictOnTheStore() {
     Fleet fleet;
     std::atomic<int> count{0};
@@ -641,6 +673,7 @@
     aBurstOfOneClientIsItsOwnTrouble();
     silenceAndHalfMessagesEndAndAClientAtRestStays();
     aSilentCrowdKeepsNobodyOut();
+    aHalfWrittenCrowdKeepsNobodyOutNorDoSmallLimits();
     resetsOfNewConnectionsAreNoVerdictOnTheStore();
     anAnswerThatStopsShortEndsItsConnection();
     anAnswerThatNeverComesIsNotWaitedForBehind();
