Hand a successor the filter of names, sizes learned, health and cold-store work

It stays for the rule on cold stores, whose budget counts one gateway: what the old process had sent to a cold store was unknown to the new one. The story fails without it: the successor's first request of a name that only its predecessor has seen asks its cache to keep the copy.

--- a/include/lotuslead/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -198,6 +199,30 @@
 using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Watch, FetchList, Probe>;
 using Actions = std::vector<Action>;
 
+// --- what a router that takes another's place should know ---
+
+struct KnownObject {  // of a name in the filter
+    std::int64_t lastPart = -1;
+    bool manyViewers = false;
+    double work = 0;  // of one part, as last seen, in seconds of sending time; zero: not known
+};
+struct KnownHost {
+    double failures = 0;  // fading share
+    bool out = false;     // left out; comes back by trials
+    Time outUntil{}, pause{};
+    double link = 0;  // the most transfers at a time that it has served: its link carries this much at least
+};
+struct NamedHost : KnownHost {
+    std::string name;
+    double coldWork = 0;  // sent to it lately, in seconds of sending time
+};
+struct Warmth {
+    Time startedAt{};
+    std::vector<double> meanWork;                                // per class; zero: not known
+    std::vector<std::pair<std::uint64_t, KnownObject>> objects;  // oldest first
+    std::vector<NamedHost> hosts;
+};
+
 // One router: fed with events in the order they came, it appends what is to be done.
 // It shares nothing with other routers, and the same events give the same actions.
 class Router {
@@ -220,7 +245,9 @@
     void handle(Time now, const ProbeEnded& event, Actions& out);
     void handleClientGone(Time now, RequestId request, Actions& out);
     void handleTimer(Time now, TimerId timer, Actions& out);
-    std::size_t places() const;  // held for hosts, also those that are gone
+    Warmth warmth(Time now);
+    void warm(Time now, const Warmth& known);  // hosts that are not listed are passed over
+    std::size_t places() const;                // held for hosts, also those that are gone
 
 private:
     class Impl;
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -73,6 +73,9 @@
     void reconfigure(settings::Vocabulary words);
     // So many processes are one gateway now: each takes its part of what is allowed to all.
     void share(int processes);
+    // What a successor on this machine should know, in JSON; of what it takes it keeps what it knows by name.
+    nlohmann::json handOver(Micros now);
+    void takeOver(Micros now, const nlohmann::json& known);  // throws where it is not of that form
 
     void list(Micros now, const settings::BusEvent& event);
     void purge(Micros now, const settings::BusEvent& event);
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -26,10 +26,14 @@
     virtual void undrain() = 0;
     virtual void leave() = 0;  // the process is to end: health checks are told
     // As that, but another process serves at the same address: nobody need be told.
-    virtual void handOver() = 0;
+    virtual void yield() = 0;
     virtual bool deserted() const = 0;  // no client is connected
     // So many processes are one gateway now, and keep to its limits together.
     virtual void share(int processes) = 0;
+    // What a successor should know, under this name; it throws where it is not of that form.
+    virtual const char* part() const = 0;
+    virtual nlohmann::json handOver() = 0;
+    virtual void takeOver(const nlohmann::json& known) = 0;
     virtual void stopListening() = 0;
     virtual std::size_t openRequests() const = 0;
     virtual bool settled() const = 0;  // no answer is owed, and all are with the kernel
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,8 +60,22 @@
     meeting_.serving();
 }
 
-std::string Gateway::handOver() { return ""; }
-void Gateway::takeOver(const std::string&) {}
+std::string Gateway::handOver() {
+    nlohmann::json known = nlohmann::json::object();
+    for (const auto& service : services_) known[service->part()] = service->handOver();
+    return known.dump();
+}
+
+void Gateway::takeOver(const std::string& what) {
+    try {
+        const auto known = nlohmann::json::parse(what);
+        for (const auto& service : services_)
+            if (known.contains(service->part())) service->takeOver(known.at(service->part()));
+        std::fprintf(stderr, "lotuslead: taken over what the predecessor knew, %zu bytes\n", what.size());
+    } catch (const std::exception& problem) {
+        std::fprintf(stderr, "lotuslead: cannot use what the predecessor knew: %s\n", problem.what());
+    }
+}
 
 void Gateway::processesChanged(int count) {
     for (const auto& service : services_) service->share(count);
@@ -151,7 +165,7 @@
     leavingSince_ = loop_.now();
     // Without a successor new connections still come here for a while, and have nowhere else to go.
     handedOver_ = meeting_.successorServes();
-    for (const auto& service : services_) handedOver_ ? service->handOver() : service->leave();
+    for (const auto& service : services_) handedOver_ ? service->yield() : service->leave();
     std::fprintf(stderr, "lotuslead: leaving%s, %zu requests open\n", handedOver_ ? " to a successor" : "",
                  openRequests());
 }
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -437,16 +437,16 @@
     sweep();
 }
 
-bool Front::saysNo() const { return leaving_ || (drainingSince_ && !handedOver_); }
+bool Front::saysNo() const { return leaving_ || (drainingSince_ && !yielding_); }
 
 void Front::share(int processes) {
     processes_ = processes;
     takeLimits();
 }
 
-void Front::handOver() {
+void Front::yield() {
     stopListening();
-    handedOver_ = true;
+    yielding_ = true;
     drain();
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -42,7 +42,7 @@
     void undrain();
     // Another process listens on the same socket: this one stops, and ends its connections as in a drain,
     // but says no to nobody.
-    void handOver();
+    void yield();
     bool deserted() const { return clients_.empty(); }
     bool idle() const;  // nothing is owed and all answers are with the kernel
     std::size_t clients() const { return clients_.size(); }
@@ -77,7 +77,7 @@
     // Of answers of late: their mean, and how far they lie from it.
     double meanAnswer_ = 0, spread_ = 0;
     bool leaving_ = false;
-    bool handedOver_ = false;
+    bool yielding_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -64,7 +64,10 @@
     void drain() override { front_.drain(); }
     void undrain() override { front_.undrain(); }
     void leave() override { front_.leave(); }
-    void handOver() override { front_.handOver(); }
+    void yield() override { front_.yield(); }
+    const char* part() const override { return opened_; }
+    nlohmann::json handOver() override { return decisions_.handOver(loop_.now()); }
+    void takeOver(const nlohmann::json& known) override { decisions_.takeOver(loop_.now(), known); }
     bool deserted() const override { return front_.deserted(); }
     void share(int processes) override {
         front_.share(processes);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -76,30 +76,23 @@
 double seconds(Time t) { return std::chrono::duration<double>(t).count(); }
 Time fromSeconds(double s) { return Time{static_cast<std::int64_t>(s * 1e9)}; }
 
-struct Host {
+struct Host : KnownHost {
+    Host() { pause = kFirstPause; }
     HostEntry entry;
     std::uint64_t hash = 0;
     bool listed = false;
     int outstanding = 0;
-    double failures = 0;  // fading share
-    bool out = false;     // left out; comes back by trials
-    Time outUntil{};
-    Time pause = kFirstPause;
     int trialsWon = 0;
     double reportedInFlight = 0;
     Time reportedAt = -1h;
     Time fullPaceAt = -1h;  // when an answer last came at full pace
     WindowSum coldWork;     // sent lately, in seconds of sending time
     FadingRate served;      // transfers at a time, in what it answers here
-    double link = 0;        // the most of that: its link carries this much at least
     Time goneAt{};
     Time heardAt = -1h;  // when it last gave an answer of any kind
 };
 
-struct ObjectRecord {
-    std::int64_t lastPart = -1;
-    bool manyViewers = false;
-    double work = 0;  // of one part, as last seen; zero: not known
+struct ObjectRecord : KnownObject {
     FadingRate bytes;
 };
 
@@ -127,8 +120,7 @@
     bool staleWillDo = false;  // something failed, or no fill is to be had
     std::vector<Attempt> attempts;
     std::vector<HostIndex> avoid;
-    auto out() const { return std::count_if(attempts.begin(), attempts.end(), isOut); }
-    static bool isOut(const Attempt& a) { return a.out; }
+    auto out() const { return std::ranges::count(attempts, true, &Attempt::out); }
     const ClassSettings& rules() const { return set->classes[static_cast<std::size_t>(request.classIndex)]; }
 };
 
@@ -291,6 +283,28 @@
 
     std::size_t places() const { return hosts_.size(); }
 
+    // --- taking another's place ---
+
+    Warmth warmth(Time now) {
+        Warmth known{startedAt_, meanWork_, {}, {}};
+        filter_.fromOldest([&](auto name, auto& record) { known.objects.emplace_back(name, record); });
+        for (Host& h : hosts_)
+            if (h.listed) known.hosts.push_back({h, h.entry.name, h.coldWork.over(now, set_->fallWindow)});
+        return known;
+    }
+
+    void warm(Time now, const Warmth& known) {
+        (meanWork_ = known.meanWork).resize(set_->classes.size(), 0);
+        for (const auto& [name, object] : known.objects) filter_.touch(name).first = {object, {}};
+        startedAt_ = std::min(startedAt_, known.startedAt);
+        for (const NamedHost& from : known.hosts) {
+            const auto it = byName_.find(from.name);
+            if (it == byName_.end()) continue;
+            static_cast<KnownHost&>(hosts_[it->second]) = from;
+            hosts_[it->second].coldWork.add(now, from.coldWork);
+        }
+    }
+
 private:
     // ----- the list -----
 
@@ -360,8 +374,7 @@
     }
 
     // Where requests don't tell sizes the answers do: by their bytes, or by the time that a hit took where
-    // its host had room. A mean guessed low makes what is in time look late, and closes gates and hosts on
-    // it.
+    // its host had room. A mean guessed low makes what is in time look late, and closes gates on it.
     void learnFromAnswer(Pending& p, const Attempt& a, const AttemptEnded& e) {
         if (p.request.sizeKb > 0 || e.sizeKb < 0) return;
         const bool told = e.sizeKb > 0 && set_->paceKb > 0;
@@ -393,8 +406,7 @@
         record.lastPart = std::max(record.lastPart, p.request.part);
         record.bytes.add(now, kHotSpan, p.work);
         p.found = found;
-        // A second viewer ranks a copy higher, and so does being whole: many small ones earn more than one
-        // part.
+        // A second viewer ranks a copy higher, and so does being whole: many small ones beat one part.
         p.keepRank = !found ? 0 : (record.manyViewers ? 2 : 1) + (c.inParts ? 0 : 1);
         p.hot = record.manyViewers &&
                 record.bytes.perSecond(now, kHotSpan) * routersHere() > kHotShare * meanCacheLink();
@@ -441,8 +453,7 @@
 
     // When most of a group looks bad at once the trouble is likely elsewhere: nobody is shut out then.
     bool mostAreOut(const std::vector<HostIndex>& group) const {
-        const auto bad =
-            std::count_if(group.begin(), group.end(), [&](HostIndex i) { return hosts_[i].out; });
+        const auto bad = std::ranges::count_if(group, [&](HostIndex i) { return hosts_[i].out; });
         return 2 * bad > static_cast<std::ptrdiff_t>(group.size());
     }
 
@@ -491,8 +502,7 @@
 
     HostIndex pick(Time now, const std::vector<HostIndex>& group, std::uint64_t key, const Pending& p,
                    bool spread) {
-        // Caches that all look bad are really lost, as with a whole zone, if the parents are well and take
-        // requests.
+        // Caches that all look bad are really lost, as with a whole zone, if parents are well and are asked.
         const bool lost = &group == &caches_ && set_->direct && !parents_.empty() && !mostAreOut(parents_);
         const bool ignoreHealth = mostAreOut(group) && !lost;
         HostIndex first = kNone, second = kNone;
@@ -520,8 +530,7 @@
     }
 
     // All zones fill an object from its one parent, which forty zones' viewers of a hot one jam: its parts
-    // then have parents apart, each still the same at every router. Harm: the first fills of a part come
-    // twice.
+    // then have parents apart, each still the same at every router. Harm: a part's first fills come twice.
     HostIndex pickParent(Time now, const Pending& p) {
         const auto part = p.hot ? static_cast<std::uint64_t>(p.request.part) : 0;
         return pick(now, parents_, combine(p.request.object + part, kParentHash), p, false);
@@ -572,11 +581,9 @@
     }
 
     // Whether the host can still answer in time. A host that takes on more serves all of them late: the rest
-    // goes elsewhere or is refused at once. Guards against overload, bursts, hot objects and slow hosts
-    // alike.
+    // goes elsewhere or is refused at once. Guards against overload, bursts, hot objects, slow hosts.
     bool hostInTime(Time now, const Pending& p, const Host& host) const {
-        if (host.entry.role == Role::origin)
-            return true;  // its link is not told; the gate and its allowance hold
+        if (host.entry.role == Role::origin) return true;  // its link is not told; its gate holds
         const double fill = fillOf(now, host);
         if (fill <= 1 || now - host.fullPaceAt < kPaceLasts) return true;
         return now + fromSeconds(p.work * kFillSlack * fill) + roundTrip(p) <= p.aim;
@@ -734,8 +741,7 @@
         if (host.entry.startedAt.count() > 0) host.coldWork.add(now, coldWeight(host, p));
     }
 
-    // A purge limits the age of what will do. An age of zero would mean "any", so it is at least a
-    // nanosecond.
+    // A purge limits the age of what will do; zero would mean "any", so it is at least a nanosecond.
     Time oldestAllowed(Time now, const Pending& p, const ClassSettings& c) const {
         Time limit{0};
         if (c.freshFor.count() > 0) limit = c.freshFor + (p.staleWillDo ? c.staleFor : Time{0});
@@ -765,8 +771,7 @@
         Attempt& a = p.attempts[static_cast<std::size_t>(number)];
         if (p.answered || p.streaming || !a.out) return;
 
-        // A host that answers others has not gone silent: its fill is slow, and one begun anew is slower
-        // still and loads the tiers above twice.
+        // A host that answers others is not silent: its fill is slow, and one begun anew would be slower.
         const bool alive = hosts_[a.host].heardAt > a.sentAt;
         a.slow = true;
         if (!alive) recordFailure(now, a.host, kSlowIsFailure);
@@ -991,6 +996,8 @@
 void Router::handle(Time, const ProbeEnded&, Actions&) {}
 void Router::handleClientGone(Time, RequestId request, Actions& out) { impl_->clientGone(request, out); }
 void Router::handleTimer(Time now, TimerId timer, Actions& out) { impl_->timer(now, timer, out); }
+Warmth Router::warmth(Time now) { return impl_->warmth(now); }
+void Router::warm(Time now, const Warmth& known) { impl_->warm(now, known); }
 std::size_t Router::places() const { return impl_->places(); }
 
 }  // namespace lotuslead
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -34,7 +34,7 @@
     // As at the platform's front: what still comes is served, and refused later on. Downloads go on.
     void drain();
     void undrain();
-    void handOver() {
+    void yield() {
         stopListening();
         drain();
     }
--- a/src/support/lru_map.hpp
+++ b/src/support/lru_map.hpp
@@ -29,6 +29,11 @@
         return {items_.front().second, false};
     }
 
+    template <class Visit>
+    void fromOldest(Visit visit) const {
+        for (auto it = items_.rbegin(); it != items_.rend(); ++it) visit(it->first, it->second);
+    }
+
     std::size_t size() const { return items_.size(); }
 
 private:
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -227,7 +227,9 @@
 void aSuccessorTakesOverAndNothingEndsAtTheDoor() {
     Fleet fleet;
     Mark pulled;
+    std::string tier;
     Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        tier = valueOf(words[2], "tier");
         pulled.raise();
         if (words[3] != "slow") serving("served")(c, words);
     }));
@@ -243,6 +245,7 @@
 
     auto newer = place.start(settings);
     newer->awaitLog("serving on");
+    newer->awaitLog("taken over what the predecessor knew");
     for (const auto* p : {older.get(), newer.get()}) p->awaitLog("2 processes are one gateway now");
     older->signal(SIGTERM);
     older->awaitLog("leaving to a successor, 1 requests open");
@@ -256,6 +259,7 @@
         Connection one(place.port());
         call(one, "1");
         assert(one.readResp()[1] == "SERVED");
+        assert(!tier.empty());  // a name that only its predecessor has seen: found, and so a copy is kept
     }
     busy.sendResp({"CANCEL", "1"});
     assert(busy.closed());
