Let the bus's answers come byte by byte, and keep who has just come from making room

- bus.cpp: an answer had 1.5 s from the question to its last byte; one written over 2.5 s was never had.
The limit is on silence now, 0.5 s within an answer, 5 s for the whole.
The story fails with the old reader.
Probes of who was closed, and why: no time limit and no malformed message; the slow client was chosen to make room right after it had connected. 64 connections were accepted a turn (stream.cpp, kAcceptsATurn), so that with 21 places all others were still unread, and who was read and quiet was the only candidate. 8 a turn now, and of two that are both new the one that has said nothing for longer goes.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t kMostDropped = 256 * 1024;  // of what comes in after the end
 constexpr Micros kNotTaken = 3s;                  // then nobody reads what a connection that ends still has
 constexpr int kReadsATurn = 4;                    // then the others have their turn
-constexpr int kAcceptsATurn = 64;
+// Then those are read that have just come: where places are short, who has asked must be known before the
+// next ones come.
+constexpr int kAcceptsATurn = 8;
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
 
 sockaddr_in addressOf(const settings::Endpoint& endpoint) {
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -13,7 +13,8 @@
 // Events count as told after 7 s whether they arrived or not: a poll that hangs must be noticed well before.
 constexpr net::Micros kHold = 1s;
 constexpr net::Micros kFirstHold = 1ms;  // a gateway that starts takes no client before it
-constexpr net::Micros kSilent = 500ms;   // beyond the hold: the bus or the way to it has gone
+constexpr net::Micros kSilent = 500ms;   // beyond the hold, or within an answer: the way to it has gone
+constexpr net::Micros kAnswer = 5s;      // from its first byte to its last, however steadily it comes
 constexpr net::Micros kConnect = 400ms;
 constexpr net::Micros kBetween = 50ms;  // from the second failure on: at once would be a busy loop
 constexpr net::HttpParser::Limits kLimits{16 * 1024, 1024 * 1024};  // parsed, it takes several times as much
@@ -57,6 +58,7 @@
 
 void BusReader::connect() {
     parser_ = net::HttpParser(net::HttpParser::Kind::response, kLimits);
+    begunAt_.reset();
     if (stream_) loop_.retire(stream_);
     stream_ = std::make_shared<net::Stream>(loop_, *bus_, static_cast<net::Stream::User&>(*this));
     arm(kConnect, [this] { reconnect("no connection in time"); });
@@ -84,9 +86,15 @@
 bool BusReader::streamData(std::string_view data) {
     while (!data.empty()) {
         const auto status = parser_.feed(data);
-        if (status == net::HttpParser::Status::needMore) return true;
+        if (status == net::HttpParser::Status::needMore) break;
+        begunAt_.reset();
         if (status != net::HttpParser::Status::message || !takeAnswer()) return false;
     }
+    if (!parser_.midMessage()) return true;
+    // An answer may come byte by byte; one that stops within is asked for again, from the last event had.
+    if (!begunAt_) begunAt_ = loop_.now();
+    const net::Micros left = std::max(net::Micros{0}, *begunAt_ + kAnswer - loop_.now());
+    arm(std::min(kSilent, left), [this] { reconnect("stopped within an answer"); });
     return true;
 }
 
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -51,6 +51,7 @@
     std::optional<net::Loop::TimerKey> timer_;
     int failures_ = 0;  // in a row
     bool heard_ = false;
+    std::optional<net::Micros> begunAt_;  // of the answer in hand
 };
 
 }  // namespace lotuslead::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -496,7 +496,7 @@
         const bool older = !place || client->lastUsed() < place->lastUsed();
         if (older && (client->fresh() ? client->silent() : client->resting())) place = client.get();
     }
-    if (!mute || (mute->young() && half && !half->young())) mute = half;
+    if (!mute || (mute->young() && half && half->lastUsed() < mute->lastUsed())) mute = half;
     const bool muteFirst = mute && (!resting || !mute->young() || 2 * fresh >= mostClients_);
     Client* one = muteFirst ? mute : resting;
     if (!one) return false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -595,6 +595,50 @@
     assert(client.readResp()[3] == "new");
 }
 
+void theBusMayTakeItsTimeButNotStop() {
+    Fleet fleet;
+    Peer cache(store(serving("new")));
+    json listed = topology({host("cache-1", cache.address())});
+    listed["offset"] = 2;
+    std::atomic<int> polls{0};
+    std::atomic<bool> stopped{false};
+    Peer bus([&](Connection& c) {
+        for (std::string head; !(head = c.readHead()).empty();) {
+            const bool has = head.find("from=2") != std::string::npos;
+            const std::string body =
+                json{{"offset", 2}, {"batch", has ? json::array() : json::array({listed})}}.dump();
+            const std::string text =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            if (++polls == 1) {  // half of it, and then nothing on a connection that stays open
+                c.send(text.substr(0, text.size() / 2));
+                stopped = c.closed();
+                return;
+            }
+            const std::size_t piece = polls == 2 ? text.size() / 25 : text.size();
+            for (std::size_t i = 0; i < text.size(); i += piece) {
+                c.send(text.substr(i, piece));
+                if (polls == 2) std::this_thread::sleep_for(100ms);
+            }
+            if (has) std::this_thread::sleep_for(200ms);
+        }
+    });
+    json settings = configuration(fleet.with({}));
+    settings["bus"] = bus.address();
+    Program program(settings);
+    Connection client(program.port());
+    for (int i = 1;; ++i) {
+        assert(i < 100);
+        call(client, std::to_string(i));
+        const auto answer = client.readResp();
+        if (answer[1] == "SERVED") break;
+        std::this_thread::sleep_for(100ms);
+    }
+    assert(stopped && polls >= 2);
+    program.signal(SIGTERM);
+    assert(program.exitCode() == 0);
+    assert(program.log().find(" events=2 reconnects=1\n") != std::string::npos);
+}
+
 void sighupTakesANewFileWholeAndKeepsTheOldOneElse() {
     Fleet fleet;
     Mark pulled, go;
@@ -659,6 +703,7 @@
 }  // namespace
 
 int main() {
+    theBusMayTakeItsTimeButNotStop();
     aRequestPassesThroughWholeAndUnchanged();
     aSilentStoreIsGivenUpAndItsLateAnswerDropped();
     aDrainTakesBackWhatWaitsForItsConnection();
