Give the repository front short limits, shares of a turn, and room for new clients

Before: half a request held its place for 30 s, at the bound new clients were turned away whoever was at rest, and one client's pipelined requests were all answered in one turn. Now 2.8 s and 408, the one at rest longest makes room, 16 requests of a client a turn. Line at fault besides: front.cpp, takeRequests returned on half a request without reading on, so that a client that had sent more than 64 KB ahead could stay paused. The story is badClientsEndSoonAndKeepNobodyOut; all stories of the repository front pass.

--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr Micros kStill = 30s;                 // a connection on which nothing moves for so long is closed
+constexpr Micros kHalfRequest = 2800ms;        // from the connection, or its first byte, to its last
+constexpr int kRequestsATurn = 16;             // of one client; then the others have their turn
 constexpr std::size_t kReadAhead = 64 * 1024;  // of further requests while one is answered
 constexpr Micros kSweep = 50ms;                // of the connections, while clients are sent away
 constexpr Micros kDrainRefuses = 1900ms;       // as at the platform's front
@@ -37,6 +39,8 @@
             return "Not Found";
         case 405:
             return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
         case 413:
             return "Content Too Large";
         case 416:
@@ -72,12 +76,17 @@
         : owner_(owner),
           parser_(net::HttpParser::Kind::request, {16 * 1024, 64 * 1024}),
           connectedAt_(owner.loop_.now()),
+          lastMoved_(connectedAt_),
+          halfSince_(connectedAt_),
           stream_(owner.loop_, std::move(fd), *this) {
         touch();
     }
     ~Client() override { abandon(); }
 
     bool idle() const { return !job_ && stream_.unsent() == 0; }
+    // At rest: nothing of a further request has come, read or unread.
+    bool resting() const { return idle() && ahead_.empty() && !parser_.midMessage() && stream_.quiet(); }
+    Micros lastMoved() const { return lastMoved_; }
     void endForDrain() {
         if (job_ || closing_ || !ahead_.empty() || !stream_.allTaken() || !stream_.quiet()) return;
         if (parser_.midMessage() || owner_.loop_.now() - connectedAt_ < kSilentDrained) return;
@@ -89,6 +98,8 @@
         stream_.close();
         if (timer_) owner_.loop_.cancel(*timer_);
         timer_.reset();
+        if (resume_) owner_.loop_.cancel(*resume_);
+        resume_.reset();
         if (job_ && job_->asked) {
             const RequestId id = *job_->asked;
             settleExpected();
@@ -119,25 +130,37 @@
     // ----- requests -----
 
     bool streamData(std::string_view data) override {
-        touch();
         ahead_.append(data);
         if (job_ && ahead_.size() > kReadAhead) stream_.pauseReading(true);
         takeRequests();
+        if (!stream_.closed()) touch();
         return true;
     }
 
     // One at a time: an index asked for behind a file is fetched after it, and so is no older than its
     // answer.
     void takeRequests() {
+        if (resume_) return;
         while (!job_ && !closing_ && !stream_.closed() && !ahead_.empty()) {
+            if (turnAt_ != owner_.loop_.now()) taken_ = 0;
+            turnAt_ = owner_.loop_.now();
+            if (taken_ >= kRequestsATurn) {
+                resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
+                    resume_.reset();
+                    takeRequests();
+                });
+                return stream_.pauseReading(true);
+            }
             std::string_view rest = ahead_;
             const auto status = parser_.feed(rest);
             ahead_.erase(0, ahead_.size() - rest.size());
             using Status = net::HttpParser::Status;
-            if (status == Status::needMore) return;
+            if (status == Status::needMore) break;  // and read on, if it had to wait before
             if (status == Status::malformed) return refuse(400);
             if (status == Status::headTooLarge) return refuse(431);
             if (status == Status::bodyTooLarge) return refuse(413);
+            ++taken_;
+            halfSince_.reset();
             begin(parser_.head());
         }
         if (!job_) stream_.pauseReading(false);
@@ -146,6 +169,7 @@
     // What can't be read leaves no way to tell where the next request would begin.
     void refuse(int status) {
         ++owner_.counters_.badRequests;
+        halfSince_.reset();
         job_.emplace();
         job_->keep = false;
         plain(status);
@@ -397,8 +421,17 @@
     }
     void touch() {
         if (timer_) owner_.loop_.cancel(*timer_);
-        timer_ = owner_.loop_.after(kStill, [this] {
+        lastMoved_ = owner_.loop_.now();
+        if (!job_ && !halfSince_ && parser_.midMessage()) halfSince_ = lastMoved_;
+        const bool half = !job_ && halfSince_;
+        const Micros wait = half ? std::max(Micros{0}, *halfSince_ + kHalfRequest - lastMoved_) : kStill;
+        timer_ = owner_.loop_.after(wait, [this, half] {
             timer_.reset();
+            // However slowly its bytes come, it does not hold its place.
+            if (half && parser_.midMessage() && !closing_) {
+                ++owner_.counters_.halfRequests;
+                return refuse(408);
+            }
             // While an answer is fetched its own deadline holds.
             if (job_ && job_->asked) return touch();
             streamEnded(net::Stream::End::closedByPeer);
@@ -416,7 +449,11 @@
     std::optional<Job> job_;
     int restarts_ = 0;
     bool closing_ = false;
-    Micros connectedAt_;
+    Micros connectedAt_, lastMoved_;
+    std::optional<Micros> halfSince_;  // a request is owed since then
+    Micros turnAt_{};
+    int taken_ = 0;  // requests, in that turn
+    std::optional<net::Loop::TimerKey> resume_;
     std::optional<net::Loop::TimerKey> timer_;
     std::size_t counted_ = 0;
     net::Stream stream_;
@@ -482,7 +519,7 @@
 }
 
 void Front::accept(net::Descriptor fd) {
-    if (clients_.size() >= mostClients_) {
+    if (clients_.size() >= mostClients_ && !makeRoom()) {
         ++counters_.turnedAway;
         return;
     }
@@ -491,6 +528,18 @@
     clients_[client.get()] = client;
 }
 
+bool Front::makeRoom() {
+    Client* oldest = nullptr;
+    for (const auto& [key, client] : clients_)
+        if ((!oldest || client->lastMoved() < oldest->lastMoved()) && client->resting())
+            oldest = client.get();
+    if (!oldest) return false;
+    ++counters_.closedIdle;
+    oldest->abandon();
+    forget(oldest);
+    return true;
+}
+
 bool Front::roomFor(std::size_t bytes) const { return expected_ + unsent_ + bytes <= mostBytes_; }
 
 bool Front::idle() const {
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -18,7 +18,8 @@
 public:
     struct Counters {
         std::uint64_t connections = 0, turnedAway = 0, indexes = 0, files = 0, badRequests = 0, notFound = 0,
-                      refused = 0, upstreamFailed = 0, late = 0, brokenOff = 0, drained = 0;
+                      refused = 0, upstreamFailed = 0, late = 0, brokenOff = 0, drained = 0, closedIdle = 0,
+                      halfRequests = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::RepositoryConfiguration& configuration);
@@ -47,6 +48,7 @@
     class Client;
 
     void accept(net::Descriptor fd);
+    bool makeRoom();
     bool roomFor(std::size_t bytes) const;
     void forget(Client* client);
     void sweep();
--- a/src/repository/service.cpp
+++ b/src/repository/service.cpp
@@ -19,7 +19,9 @@
                         {"upstream_failed", f.upstreamFailed},
                         {"late", f.late},
                         {"broken_off", f.brokenOff},
-                        {"drained", f.drained}});
+                        {"drained", f.drained},
+                        {"closed_idle", f.closedIdle},
+                        {"half_requests", f.halfRequests}});
     core::printFigures(name, "upstreams",
                        {{"connects", u.connects},
                         {"connect_failures", u.connectFailures},
--- a/tests/repository_test.cpp
+++ b/tests/repository_test.cpp
@@ -239,9 +239,41 @@
     assert(program.log().find("repository connections=1") != std::string::npos);
 }
 
+void badClientsEndSoonAndKeepNobodyOut() {
+    Repository server(10);
+    json settings = repository(server, server);
+    settings["limits"]["sockets"] = 192;  // 64 of them for clients
+    Program program(settings, "LB_REPOSITORY");
+    const std::uint16_t port = program.port();
+    std::vector<std::unique_ptr<Connection>> idle;
+    for (int i = 0; i < 80; ++i) {  // each is served, though those before stay
+        idle.push_back(std::make_unique<Connection>(port));
+        assert(get(*idle.back(), "/index/plugins.json").status == 200);
+    }
+    idle.resize(40);
+    idle.erase(idle.begin(), idle.begin() + 30);
+    Connection greedy(port), usual(port);
+    std::string many;
+    for (int i = 0; i < 3000; ++i) many += "GET /nothing HTTP/1.1\r\nHost: here\r\n\r\n";
+    greedy.send(many);
+    assert(get(usual, "/index/plugins.json").status == 200);
+    const auto begin = std::chrono::steady_clock::now();
+    Connection silent(port), half(port);
+    half.send("GET /index/plugins.json HTTP/1.1\r\nHo");
+    assert(half.readHead().rfind("HTTP/1.1 408 ", 0) == 0);
+    assert(silent.closed());
+    assert(std::chrono::steady_clock::now() - begin < 6s);
+    assert(get(usual, "/index/plugins.json").status == 200);  // at rest it stays
+    for (int i = 0; i < 3000; ++i) {
+        assert(greedy.readHead().rfind("HTTP/1.1 404 ", 0) == 0);
+        assert(greedy.exactly(10) == "Not Found\n");
+    }
+}
+
 }  // namespace
 
 int main() {
+    badClientsEndSoonAndKeepNobodyOut();
     indexesAndFilesAreServedAsTheSpecificationsSay();
     aPurgeMidFetchLeavesNoOldIndex();
     aDrainMidDownloadIsRefusedCleanly();
