Drain and replace instances from the tool; a changed configuration replaces without a gap

Before: an instance whose configuration changed was ended and then started anew, and its door was not to be reached from the tool. Now the agent holds the listening socket and lets the successor take over; `ready`, `drain`, `undrain` and `replace` go to the agent that runs the instance. The story drains, undrains, replaces by hand and by a new configuration; it finds two handovers in the instance's log and no restart counted. Not tested: a successor that never gets ready.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <system_error>
 
+#include "../net/call.hpp"
 #include "../net/calls.hpp"
 #include "consensus.hpp"
 #include "supervisor.hpp"
@@ -135,7 +136,9 @@
             return reply({200, status().dump(2) + "\n", {}});
         const std::string prefix = "/instances/";
         if (head.target.rfind(prefix, 0) != 0) return reply({404, "no such thing\n", {}});
-        const std::string name = head.target.substr(prefix.size());
+        std::string name = head.target.substr(prefix.size());
+        if (const std::size_t slash = name.find('/'); slash != std::string::npos)
+            return operate(name.substr(0, slash), name.substr(slash + 1), head, reply);
         if (!isName(name)) return reply({400, "a name is 1 to 64 of a-z, 0-9 and -\n", {}});
         std::string command;
         if (head.method == "DELETE") {
@@ -166,6 +169,35 @@
                          : net::CallServer::Answer{503, "not agreed\n", {}});
         });
     }
+    // What the door of one instance is asked, by the agent that runs it.
+    void operate(const std::string& name, const std::string& what, const net::HttpHead& head,
+                 const net::CallServer::Reply& reply) {
+        const bool ready = what == "ready";
+        if (!ready && what != "drain" && what != "undrain" && what != "replace")
+            return reply({404, "no such thing\n", {}});
+        if (head.method != (ready ? "GET" : "POST")) return reply({405, "GET ready, POST the others\n", {}});
+        const auto found = state_.instances().find(name);
+        if (found == state_.instances().end()) return reply({404, "no instance '" + name + "'\n", {}});
+        if (found->second.agent != self_.id) {
+            for (const Member& m : configuration_.members)
+                if (m.id == found->second.agent)
+                    return reply({307, "", {"Location", "http://" + m.control + head.target}});
+            return reply({503, "its agent is not known\n", {}});
+        }
+        if (what == "replace") {
+            const bool begun = supervisor_.replace(name);
+            return reply({begun ? 200 : 409,
+                          begun ? "replacing\n" : "it does not run, is being replaced, or has no door\n",
+                          {}});
+        }
+        const auto door = supervisor_.door(name);
+        if (!door) return reply({409, "it has no operators' door\n", {}});
+        net::call(loop_, *door, head.method, "/" + what, std::chrono::seconds{2},
+                  [reply](int status, std::string body) {
+                      reply(status != 0 ? net::CallServer::Answer{status, std::move(body), {}}
+                                        : net::CallServer::Answer{503, "its door does not answer\n", {}});
+                  });
+    }
     void toLeader(const std::string& target, const net::CallServer::Reply& reply) {
         const std::uint64_t leader = consensus_.leader();
         for (const Member& m : configuration_.members)
--- a/src/agent/supervisor.hpp
+++ b/src/agent/supervisor.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "../net/loop.hpp"
+#include "../net/stream.hpp"
 #include "state.hpp"
 
 namespace lotuslead::agent {
@@ -21,10 +22,15 @@
     void want(const std::map<std::string, Instance>& all, std::uint64_t self);
     void stopAll();
     void reap();  // after SIGCHLD
+    // Starts a successor beside it, and ends the old process once that takes
+    // clients. False: it doesn't run, is being replaced already, or has no
+    // operators' door that would tell.
+    bool replace(const std::string& name);
+    std::optional<settings::Endpoint> door(const std::string& name) const;
     bool empty() const { return processes_.empty(); }
 
     struct Status {
-        std::string phase;  // running, stopping, waiting
+        std::string phase;  // running, replacing, stopping, waiting
         pid_t pid = 0;
         int restarts = 0;
     };
@@ -37,6 +43,14 @@
         bool keep = true;
         bool stopping = false;
         pid_t pid = 0;
+        // The clients' socket is held here, so that each process of the instance
+        // inherits it.
+        net::Descriptor socket;
+        settings::Endpoint listens;
+        std::optional<settings::Endpoint> door, nextDoor;
+        pid_t successor = 0;
+        std::uint64_t successorRuns = 0;
+        bool successorServes = false;
         int restarts = 0;
         net::Micros startedAt{};
         net::Micros pause{};
@@ -44,6 +58,10 @@
     };
 
     void start(const std::string& name, Process& process);
+    pid_t spawn(const std::string& name, Process& process, const std::optional<settings::Endpoint>& door);
+    void hold(const std::string& name, Process& process, const settings::Endpoint& at);
+    void awaitReady(const std::string& name, pid_t successor, net::Micros until);
+    void promote(const std::string& name, Process& process);
     void stop(Process& process);
 
     net::Loop& loop_;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -22,9 +22,17 @@
 
 constexpr const char* kUsage =
     "usage: lotusleadctl --agents ADDRESS:PORT[,ADDRESS:PORT...] COMMAND\n"
-    "  status                  each agent: its leader, and the instances with their phases\n"
-    "  put NAME AGENT FILE     runs the instance on that agent with that configuration\n"
-    "  delete NAME             stops the instance\n";
+    "  status                  each agent: its leader, and the instances with "
+    "their phases\n"
+    "  put NAME AGENT FILE     runs the instance on that agent with that "
+    "configuration\n"
+    "  delete NAME             stops the instance\n"
+    "  ready NAME              whether it takes clients; the exit code says "
+    "so, too\n"
+    "  drain NAME              sends its clients away; undrain NAME takes them "
+    "again\n"
+    "  replace NAME            starts a new process beside it that takes "
+    "over\n";
 
 struct Response {
     int status = 0;
@@ -104,6 +112,10 @@
     for (std::string one; std::getline(list, one, ',');) agents.push_back(one);
     const std::string& command = words[2];
     if (command == "status" && words.size() == 3) return status(agents);
+    if (command == "ready" && words.size() == 4)
+        return change(agents, "GET", "/instances/" + words[3] + "/ready", "");
+    if ((command == "drain" || command == "undrain" || command == "replace") && words.size() == 4)
+        return change(agents, "POST", "/instances/" + words[3] + "/" + command, "");
     if (command == "delete" && words.size() == 4)
         return change(agents, "DELETE", "/instances/" + words[3], "");
     if (command != "put" || words.size() != 6) return 2;
--- /dev/null
+++ b/src/net/call.hpp
@@ -0,0 +1,17 @@
+// One HTTP/1.1 call to another program, without waiting for it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "loop.hpp"
+#include "stream.hpp"
+
+namespace lotuslead::net {
+
+// Status 0: no whole answer came in time.
+using Called = std::function<void(int status, std::string body)>;
+void call(Loop& loop, const settings::Endpoint& to, const std::string& method, const std::string& target,
+          Micros within, Called called);
+
+}  // namespace lotuslead::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -240,8 +240,6 @@
     return EPOLLIN;
 }
 
-namespace {
-
 Descriptor listenOn(const settings::Endpoint& at) {
     Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1;
@@ -254,8 +252,6 @@
     return fd;
 }
 
-}  // namespace
-
 Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at) {
     int fd = -1;
     const auto read = std::from_chars(number.data(), number.data() + number.size(), fd);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -74,6 +74,8 @@
     Loop::TimerKey timer_{};
 };
 
+Descriptor listenOn(const settings::Endpoint& at);  // throws std::system_error
+
 // A listening socket that was inherited; throws settings::Malformed, with the reason alone, where the
 // descriptor is not one or has another address (port 0 stands for any).
 Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at);
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -20,7 +20,8 @@
     Agents() {
         char folder[] = "/tmp/lotuslead-test-XXXXXX";
         folder_ = ::mkdtemp(folder);
-        // The agents must know each other's ports beforehand: an address of this process's own has all free.
+        // The agents must know each other's ports beforehand: an address of this
+        // process's own has all free.
         const int pid = ::getpid();
         host_ = "127." + std::to_string(64 + (pid >> 14) % 64) + "." + std::to_string((pid >> 7) % 128) +
                 "." + std::to_string(1 + pid % 128);
@@ -52,6 +53,11 @@
         pids_[id] = 0;
         return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
     }
+    const std::string& host() const { return host_; }
+    std::string log(int id, const std::string& instance) const {
+        std::ifstream in(folder_ + "/" + std::to_string(id) + "/instances/" + instance + ".log");
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
     std::string control(int id) const { return host_ + ":" + std::to_string(9100 + id); }
     std::string ctl(const std::string& words, int id = 0) const {
         const std::string agents = id > 0 ? control(id) : control(1) + "," + control(2) + "," + control(3);
@@ -91,7 +97,8 @@
     };
     for (int id = 1; id <= 3; ++id) agents.await(id, leads);
     const std::string good = agents.file("good.json", configuration({}));
-    // Through an agent that doesn't lead the tool is sent on to the one that does.
+    // Through an agent that doesn't lead the tool is sent on to the one that
+    // does.
     for (int id = 1; id <= 3; ++id)
         assert(agents.ctl("put gate-" + std::to_string(id) + " " + std::to_string(id) + " " + good, 1) ==
                "agreed\n");
@@ -110,11 +117,13 @@
     wrong["listen"] = "nowhere";
     const std::string bad = agents.file("bad.json", wrong);
     assert(agents.ctl("put gate-9 1 " + bad) ==
-           "lotusleadctl: bad configuration: field 'listen' is not address:port: 'nowhere'\n");
+           "lotusleadctl: bad configuration: field 'listen' is not address:port: "
+           "'nowhere'\n");
     assert(agents.ctl("put gate-9 7 " + good) == "lotusleadctl: no agent 7\n");
     assert(agents.ctl("delete gate-9") == "lotusleadctl: no instance 'gate-9'\n");
 
-    // The leader is killed: the other two go on, and it learns later what it has missed.
+    // The leader is killed: the other two go on, and it learns later what it has
+    // missed.
     const int leader = agents.status(1)["leader"];
     const int other = leader % 3 + 1;
     agents.end(leader, SIGKILL);
@@ -129,6 +138,56 @@
     assert(agents.end(leader, SIGTERM) == 0);
 }
 
+void anInstanceIsDrainedAndReplacedFromTheTool() {
+    Agents agents;
+    for (int id = 1; id <= 3; ++id) agents.await(id, [](const json& s) { return s["leader"] > 0; });
+    json settings = configuration({});
+    settings["operator"] = agents.host() + ":15000";
+    const std::string file = agents.file("gate.json", settings);
+    assert(agents.ctl("put gate-1 2 " + file) == "agreed\n");
+    const auto says = [&](const std::string& command, const std::string& text) {
+        std::string said;
+        for (int i = 0; i < kPatience * 20; ++i, std::this_thread::sleep_for(50ms))
+            if ((said = agents.ctl(command, 1)) == text) return;  // sent on to the agent that runs it
+        std::fprintf(stderr, "%s: %s\n", command.c_str(), said.c_str());
+        std::abort();
+    };
+    says("ready gate-1", "serving\n");
+    says("drain gate-1", "draining\n");
+    says("ready gate-1", "lotusleadctl: draining\n");
+    says("undrain gate-1", "serving\n");
+    assert(agents.ctl("drain gate-9") == "lotusleadctl: no instance 'gate-9'\n");
+
+    // A new process takes over, by hand and with a new configuration; nothing is
+    // started again.
+    int pid = agents.status(2)["instances"]["gate-1"]["pid"];
+    const auto replaced = [&](const json& s) {
+        const json& gate = s["instances"]["gate-1"];
+        return gate["phase"] == "running" && gate["pid"] != pid && gate["restarts"] == 0;
+    };
+    assert(agents.ctl("replace gate-1") == "replacing\n");
+    agents.await(2, replaced);
+    says("ready gate-1", "serving\n");
+    pid = agents.status(2)["instances"]["gate-1"]["pid"];
+    settings["limits"]["memory_mb"] = 96;
+    agents.file("gate.json", settings);
+    assert(agents.ctl("put gate-1 2 " + file) == "agreed\n");
+    agents.await(2, replaced);
+    says("ready gate-1", "serving\n");
+    const std::string log = agents.log(2, "gate-1");
+    assert(log.find("leaving to a successor") != log.rfind("leaving to a successor"));
+    // What can't be used is refused, and the process stays.
+    json taken = settings;
+    taken["bus"] = "nowhere";
+    pid = agents.status(2)["instances"]["gate-1"]["pid"];
+    assert(agents.ctl("put gate-1 2 " + agents.file("bad.json", taken)).find("field 'bus'") !=
+           std::string::npos);
+    assert(agents.status(2)["instances"]["gate-1"]["pid"] == pid);
+}
+
 }  // namespace
 
-int main() { instancesRunWhereAgreedAndOutliveALeader(); }
+int main() {
+    anInstanceIsDrainedAndReplacedFromTheTool();
+    instancesRunWhereAgreedAndOutliveALeader();
+}
