--- a/examples/toy_store.py
+++ b/examples/toy_store.py
@@ -27,7 +27,7 @@
             print(self.server.name, b" ".join(words).decode(errors="replace"), flush=True)
             if words[0] == b"PULL":
                 body = b"bytes from " + self.server.name.encode() + b"\n"
-                write_array(self.wfile, words[1], b"ok", b"tag=1f,minted=1764576000000,remark=local", body)
+                write_array(self.wfile, words[1], b"ok", b"tag=4be0c1927d55a6f3,minted=1764576000000,remark=local", body)
 
 
 class Server(socketserver.ThreadingTCPServer):
