Shut a gently closed connection once, so that it does not spin until its peer closes

Cause: Stream::allWritten shut the writing side on each EPOLLOUT that found all written, and the kernel reports an edge for each shutdown, the repeated ones, too (src/net/stream.cpp, allWritten, called from ready). A bad client that keeps its connection open so held a core for the 500 ms of closeGently. Change: it is shut once. tests/net_test.cpp counts the loop's turns on loopback: 1,000 in 5 ms before, up to 10 now.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -114,7 +114,8 @@
 
 void Stream::allWritten() {
     if (!gentle_) return end(End::closedByPeer);
-    ::shutdown(fd_.get(), SHUT_WR);
+    // Once: each call makes an edge of its own, on which the next would follow, without a pause.
+    if (!std::exchange(shut_, true)) ::shutdown(fd_.get(), SHUT_WR);
 }
 
 bool Stream::quiet() const {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -67,6 +67,7 @@
     bool readable_ = false;  // an edge came while paused
     bool closing_ = false;
     bool gentle_ = false;
+    bool shut_ = false;  // the peer has been told that nothing more comes
     std::size_t dropped_ = 0;
     std::size_t left_ = 0;  // untaken when last looked at
     Micros gentleFor_{}, takenAt_{};
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,59 @@
+// The loop and its streams, without a gateway round them.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstring>
+#include <memory>
+#include <string>
+
+#include "net/loop.hpp"
+#include "net/stream.hpp"
+
+namespace lotuslead::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A stream that a peer has connected to, and the peer's own socket.
+class Pair : public Stream::User {
+public:
+    explicit Pair(Loop& loop) {
+        Descriptor listening = listenOn({"127.0.0.1", 0});
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        ::getsockname(listening.get(), reinterpret_cast<sockaddr*>(&at), &size);
+        peer.reset(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        EXPECT_EQ(::connect(peer.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+        Descriptor fd(::accept4(listening.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        stream = std::make_unique<Stream>(loop, std::move(fd), *this);
+    }
+    bool streamData(std::string_view) override { return true; }
+    void streamEnded(Stream::End) override { ended = true; }
+
+    Descriptor peer;
+    std::unique_ptr<Stream> stream;
+    bool ended = false;
+};
+
+TEST(Stream, AGentleCloseWaitsForItsPeerWithoutTurns) {
+    Loop loop;
+    Pair pair(loop);
+    pair.stream->write("last words");
+    pair.stream->closeGently(200ms);
+    int turns = 0;
+    while (!pair.ended && turns < 1000) {
+        loop.turn(loop.now() + 1s);
+        ++turns;
+    }
+    EXPECT_TRUE(pair.ended);
+    // The edges of the connection and of its end of writing, the time's end: each shutdown anew made one more.
+    EXPECT_LE(turns, 10);
+    char words[16] = {};
+    EXPECT_EQ(::recv(pair.peer.get(), words, sizeof words, MSG_WAITALL), 10);
+    EXPECT_STREQ(words, "last words");
+}
+
+}  // namespace
+}  // namespace lotuslead::net
