--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -48,7 +48,7 @@
         ++turns;
     }
     EXPECT_TRUE(pair.ended);
-    // The edges of the connection and of its end of writing, the time's end: each shutdown anew made one more.
+    // The connection's edge, that of its end of writing, the time's end; each further shutdown made one more.
     EXPECT_LE(turns, 10);
     char words[16] = {};
     EXPECT_EQ(::recv(pair.peer.get(), words, sizeof words, MSG_WAITALL), 10);
