Count a life of the disk audit from when it is ready, so that a slow machine passes

A life was 15 to 125 ms of wall time from the fork; there, starting and loading took all of it, so no part was ever served and the audit said, rightly, that too little was.

Change: a child says when its tier is ready. A life runs from then and ends only after up to 80 parts were served in it; one in ten dies while it loads, within the time that the last load took.

--- a/tests/audit_disk.cpp
+++ b/tests/audit_disk.cpp
@@ -137,6 +137,7 @@
             readBus();
             answer();
             const bool ready = tier_.state() == Tier::State::ready;
+            if (ready && !std::exchange(toldReady_, true)) say("ready");
             const bool walking = next < kObjects * kParts;
             for (int i = 0; i < 6 && ready; ++i) {
                 if (next < kObjects * kParts) {
@@ -245,6 +246,7 @@
     std::int64_t from_ = 0, unacknowledged_ = 0;
     std::vector<std::pair<int, std::int64_t>> ownPurges_;
     int looking_ = 0;
+    bool toldReady_ = false;
     SlowFiles calls_;
     Tier tier_;
 };
@@ -305,16 +307,22 @@
             ::_exit(127);
         }
         ::close(pipes[1]);
-        // Some die while they load, some while they write.
-        const auto lifeMs =
-            static_cast<std::int64_t>(random_() % 10 == 0 ? random_() % 15 : 15 + random_() % 110);
-        const std::int64_t diesAt = monotonicMs() + lifeMs;
-        std::int64_t nextPurge = monotonicMs() + static_cast<std::int64_t>(random_() % 40);
+        // Some die while they load, within the time the last one took. The others live from when they are
+        // ready and have served a few parts, so that a slow machine has lives as full as a fast one.
+        const std::int64_t startedMs = monotonicMs();
+        const bool diesLoading = random_() % 10 == 0;
+        const auto lifeMs = static_cast<std::int64_t>(
+            diesLoading ? random_() % static_cast<std::uint64_t>(loadMs_) : 15 + random_() % 110);
+        const std::uint64_t enoughServed = served_ + random_() % 80;
+        std::int64_t readyMs = 0;
+        std::int64_t nextPurge = startedMs + static_cast<std::int64_t>(random_() % 40);
         bool alive = true;
         std::string text;
         while (true) {
             const std::int64_t now = monotonicMs();
-            if (alive && !last && now >= diesAt) {
+            const bool over = diesLoading ? now >= startedMs + lifeMs
+                                          : readyMs > 0 && now >= readyMs + lifeMs && served_ >= enoughServed;
+            if (alive && !last && over) {
                 ::kill(pid, SIGKILL);
                 alive = false;
             }
@@ -328,8 +336,15 @@
             const ssize_t got = ::read(pipes[0], chunk, sizeof chunk);
             if (got <= 0) break;
             text.append(chunk, static_cast<std::size_t>(got));
-            for (std::size_t end; (end = text.find('\n')) != std::string::npos; text.erase(0, end + 1))
-                judge(text.substr(0, end));
+            for (std::size_t end; (end = text.find('\n')) != std::string::npos; text.erase(0, end + 1)) {
+                const std::string line = text.substr(0, end);
+                if (line == "ready") {
+                    readyMs = monotonicMs();
+                    loadMs_ = 1 + readyMs - startedMs;
+                } else {
+                    judge(line);
+                }
+            }
         }
         ::close(pipes[0]);
         int status = 0;
@@ -438,6 +453,7 @@
     std::vector<Purge> purges_;
     std::vector<std::pair<int, std::int64_t>> own_;
     std::int64_t lastEvent_ = 0, forgotten_ = 0, acknowledged_ = 0, bornMs_ = 0;
+    std::int64_t loadMs_ = 15;  // from a start to ready, as the last one took
     std::uint64_t served_ = 0, torn_ = 0, stale_ = 0, acknowledgements_ = 0;
     int gaps_ = 0, damaged_ = 0, unsynced_ = 0;
 };
--- a/tests/disk_story_test.cpp
+++ b/tests/disk_story_test.cpp
@@ -103,16 +103,19 @@
     assert(cold >= without.server.file.size() && warmed * 10 <= cold);
 }
 
+// A life that ends without notice once its copies are on the disk.
+void warmAndKill(Site& site, const Program::Variables& variables) {
+    Program program(site.settings, "LB_REPOSITORY", 1024, variables);
+    warm(program, site.server);
+    settle(program);
+    program.signal(SIGKILL);
+    program.exitCode();
+}
+
 void aPurgeWhileDownIsKept() {
     Site site;
     const Program::Variables variables{{"LB_DISK", site.folder.file()}};
-    {
-        Program program(site.settings, "LB_REPOSITORY", 1024, variables);
-        warm(program, site.server);
-        settle(program);
-        program.signal(SIGKILL);
-        program.exitCode();
-    }
+    warmAndKill(site, variables);
     site.server.version = 2;
     site.bus.note({{"ban", {{"url", "/index/plugins.json"}, {"ts", unixMs() + 2000}}}});
     Program program(site.settings, "LB_REPOSITORY", 1024, variables);
@@ -128,13 +131,7 @@
 void withoutProofNothingIsServed() {
     Site site;
     const Program::Variables variables{{"LB_DISK", site.folder.file()}};
-    {
-        Program program(site.settings, "LB_REPOSITORY", 1024, variables);
-        warm(program, site.server);
-        settle(program);
-        program.signal(SIGKILL);
-        program.exitCode();
-    }
+    warmAndKill(site, variables);
     // The purge is among the events that the bus tells no more: it can't be known which copies it named.
     site.server.version = 2;
     site.bus.note({{"ban", {{"url", "/index/plugins.json"}, {"ts", unixMs()}}}});
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,9 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <cstring>
 #include <memory>
-#include <string>
 
 #include "net/loop.hpp"
 #include "net/stream.hpp"
