Learn from answers how long a silent connection to a store is still well

Cause: with 300 gateways a connection has one request out at a time and is silent for as long as its answer takes (p50 0.36 to 0.6 s).

Change: one limit for all of them, learned as RFC 6298 learns a retransmission time-out over the silences that ended in an answer, 0.3 to 3 s: under dense traffic it stays at 0.3 s as before. Answers kept back while later ones came elsewhere are given up 0.5 s past the limit (was 0.8 s in all).

A story whose store answers in 0.45 s brings 5 echoes for 5 requests without the change.

--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -19,11 +19,9 @@
 constexpr Micros kConnectTimeout = 400ms;  // where the settings tell none
 constexpr Micros kIdleClose = 30s;
 constexpr std::size_t kStreams = 100;
-// With attempts out and not a byte: the machine may be gone without a word, or an answer has stopped the
-// connection. New attempts go by another one then.
-constexpr Micros kSilence = 300ms;
 constexpr Micros kEchoWait = 200ms;  // an ECHO is answered beside the queue, if the connection still carries
-constexpr Micros kStuck = 800ms;  // and those out are given up, if others that were sent later were answered
+// Past the limit of silence: those out are given up, if others that were sent later were answered.
+constexpr Micros kStuck = 500ms;
 constexpr Micros kStalled = 300ms;         // within an answer: answers come whole, or not at all
 constexpr Micros kLongAnswer = 3s;         // from its first byte to its last, however steadily it comes
 constexpr std::size_t kMostLinks = 6;      // to one store
@@ -137,7 +135,8 @@
             std::string words;
             net::appendResp(words, {"KILL", it->first});
             remember(it->first);
-            if (owner_.loop_.now() - std::max(lastByte_, it->second.writtenAt) > kSilence) shunned_ = true;
+            if (owner_.loop_.now() - std::max(lastByte_, it->second.writtenAt) > owner_.silence_.limit())
+                shunned_ = true;
             out_.erase(it);
             stream_.write(std::move(words));
             restIfIdle();
@@ -229,13 +228,13 @@
         silenceTimer_ = owner_.loop_.after(wait, [this] {
             silenceTimer_.reset();
             if (out_.empty()) return;
-            const Micros left = kSilence - silentFor();
+            const Micros left = owner_.silence_.limit() - silentFor();
             if (left.count() > 0) return watchSilence(left);
             if (echoAt_ > waitsSince()) {
                 ++owner_.counters_.stuck;
                 return fail(Outcome::broken, Verdict::one, true);
             }
-            if (!owner_.mayProbe_) return watchSilence(kSilence);
+            if (!owner_.mayProbe_) return watchSilence(owner_.silence_.limit());
             ++owner_.counters_.echoes;
             echoAt_ = owner_.loop_.now();
             std::string words;
@@ -284,6 +283,8 @@
             if (words.size() > 3) end.payload.body = std::move(words[3]);
         }
         owner_.answered(host_, found->second.writtenAt);
+        owner_.silence_.learn(owner_.loop_.now() - std::max(lastAnswer_, waitsSince_));
+        lastAnswer_ = owner_.loop_.now();
         // A second copy would pass for the answer to a further attempt of the same request.
         if (answered_.size() < kLastAnswered) answered_.push_back(0);
         answered_[nextAnswered_++ % kLastAnswered] = fingerprint(words[0]);
@@ -315,7 +316,7 @@
             }
             const core::Request& request = *next.request;
             if (out_.empty()) waitsSince_ = now;
-            if (!silenceTimer_) watchSilence(kSilence);
+            if (!silenceTimer_) watchSilence(owner_.silence_.limit());
             out_[request.label] = {next.send.request, next.send.attempt, now, !request.known.empty(),
                                    owner_.leastMintedMs(next.send.oldest)};
             std::string words;
@@ -367,7 +368,7 @@
 
     Stores& owner_;
     std::string host_;
-    Micros lastByte_;
+    Micros lastByte_, lastAnswer_{};
     Micros waitsSince_{};  // for any answer
     bool heard_ = false;   // anything at all
     net::RespParser parser_;
@@ -466,7 +467,7 @@
     for (const auto& link : store.links) {
         // Two attempts of one id on one connection: a late answer to the first would pass for the second's.
         if (!link->usable() || link->load() >= streams_ || link->knows(label)) continue;
-        auto& place = link->silentFor() > kSilence ? silent : best;
+        auto& place = link->silentFor() > silence_.limit() ? silent : best;
         if (!place || link->load() < place->load()) place = link;
     }
     if (best) return best;
@@ -482,7 +483,7 @@
 void Stores::retireStuck(Store& store) {
     const auto links = store.links;
     for (const auto& link : links) {
-        if (!link->waitsForAnswers() || link->silentFor() < kStuck) continue;
+        if (!link->waitsForAnswers() || link->silentFor() < silence_.limit() + kStuck) continue;
         if (store.answeredWrittenAt <= link->waitsSince()) continue;
         ++counters_.stuck;
         link->fail(Outcome::broken, Link::Verdict::none, true);
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -12,6 +12,7 @@
 #include "../net/loop.hpp"
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
+#include "silence.hpp"
 
 namespace lotuslead::platform {
 
@@ -76,6 +77,9 @@
     std::size_t sockets_ = 0, mostConnections_ = 0;
     int processes_ = 1;
     bool mayProbe_ = false;
+    // With attempts out and not a byte for longer: the machine may be gone without a word, or an answer has
+    // stopped the connection. It is asked for an echo, and new attempts go by another one.
+    SilenceLimit silence_;
     std::uint64_t lastEcho_ = 0;
     Callbacks callbacks_;
     Counters counters_;
--- a/tests/fleet_size_test.cpp
+++ b/tests/fleet_size_test.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "harness.hpp"
+#include "platform/silence.hpp"
 
 namespace lotuslead::testing {
 namespace {
@@ -108,6 +109,21 @@
     EXPECT_EQ(fills + refused, asked);
 }
 
+// With one request out at a time a connection is silent for as long as its answer takes.
+TEST(SilenceLimit, IsLearnedFromHowLongAnswersTake) {
+    platform::SilenceLimit busy, thin;
+    EXPECT_EQ(busy.limit(), platform::SilenceLimit::kLeast);
+    for (int i = 0; i < 100; ++i) {
+        busy.learn(10ms);
+        thin.learn(i % 2 == 0 ? 400ms : 800ms);
+    }
+    EXPECT_EQ(busy.limit(), platform::SilenceLimit::kLeast);
+    EXPECT_GT(thin.limit(), 1200ms);
+    EXPECT_LT(thin.limit(), 1600ms);
+    for (int i = 0; i < 100; ++i) thin.learn(60s);  // however long they take
+    EXPECT_EQ(thin.limit(), platform::SilenceLimit::kMost);
+}
+
 INSTANTIATE_TEST_SUITE_P(Counts, FleetSize,
                          ::testing::Values(Fleet{1, false}, Fleet{4, false}, Fleet{4, true},
                                            Fleet{300, false}, Fleet{300, true}));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -485,6 +485,36 @@
     }
 }
 
+// One request out at a time, and each answer takes 0.45 s: that is no silence, and asks for no echo each
+// time.
+void storesThatTakeTheirTimeAreNotAskedForEchoes() {
+    Fleet fleet;
+    Peer cache([&](Connection& c) {
+        std::vector<std::jthread> answers;
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+            if (words[0] == "ECHO") c.sendResp({words[1], "yes", "-", ""});
+            if (words[0] != "PULL") continue;
+            answers.emplace_back([&c, words] {
+                std::this_thread::sleep_for(450ms);
+                serving("in its time")(c, words);
+            });
+        }
+    });
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["settings"]["allowed"]["mayProbe"] = true;
+    Program program(settings);
+    Connection client(program.port());
+    for (int i = 1; i <= 5; ++i) {
+        call(client, std::to_string(i));
+        assert(client.readResp()[1] == "SERVED");
+    }
+    program.signal(SIGTERM);
+    assert(program.exitCode() == 0);
+    const std::string log = program.log();
+    assert(log.find(" echoes=1 ") != std::string::npos || log.find(" echoes=2 ") != std::string::npos);
+    assert(log.find(" stuck=0 ") != std::string::npos);
+}
+
 void aSecondCopyIsNotTheAnswerToAFurtherAttempt() {
     Fleet fleet;
     std::atomic<int> pulls{0};
@@ -723,6 +753,7 @@
     anAnswerThatStopsShortEndsItsConnection();
     anAnswerThatNeverComesIsNotWaitedForBehind();
     aSilentConnectionIsAskedForAnEcho();
+    storesThatTakeTheirTimeAreNotAskedForEchoes();
     aSecondCopyIsNotTheAnswerToAFurtherAttempt();
     anAnswerThatDoesNotFitItsRequestIsNotPassedOn();
     aCopyFromBeforeAPurgeIsNotPassedOn();
