Keep running means and deviations by one type, and test a link that is shown to be free

src/platform/front.cpp and src/platform/silence.hpp each had a mean and a mean deviation of their own; both now use support/running_mean.hpp. Sizes start from the same mean as before, silences from their first as before. The test of linkPaceAt_ fails without its use.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -22,8 +22,7 @@
 constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
 constexpr std::size_t kClientsShare = 16;                // of them may be so far behind
 constexpr std::size_t kSlow = 256 * 1024;                // unread answers of one that reads slowly
-constexpr double kFirstMean = 60'000;                    // of answers, before any: a quarter of the largest
-constexpr double kAnswerWeight = 0.02, kSpreads = 3;
+constexpr double kSpreads = 3;                           // of answers' sizes, above their mean
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
 // Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
@@ -330,7 +329,7 @@
         release(tag);
         if (reply.word == Reply::Word::served) {
             strikes_ = 0;
-            owner_.learnAnswer(reply.payload.body.size());
+            owner_.answer_.learn(static_cast<double>(reply.payload.body.size()));
             if (reply.payload.unchanged) {
                 answer(tag, "SERVED", "keep=1", {});
             } else if (owner_.unsent_ + reply.payload.body.size() > owner_.mostBytes_) {
@@ -509,20 +508,13 @@
 // What is held, and what the requests in hand may yet bring: as large as answers have been of late, and one
 // of them the largest there is. Who reads slowly leaves half of it to the others.
 bool Front::roomForOne(std::size_t backlog) const {
-    const double mean = meanAnswer_ > 0 ? meanAnswer_ : kFirstMean;
     const auto open = static_cast<double>(requests_.open() + 1);
-    const double coming = open * mean + kSpreads * std::sqrt(open) * spread_ + kLargestAnswer;
+    const double coming =
+        open * answer_.mean + kSpreads * std::sqrt(open) * answer_.deviation + kLargestAnswer;
     const auto most = static_cast<double>(backlog > kSlow ? mostBytes_ / 2 : mostBytes_);
     return coming + static_cast<double>(unsent_) <= most;
 }
 
-void Front::learnAnswer(std::size_t bytes) {
-    const auto size = static_cast<double>(bytes);
-    if (meanAnswer_ <= 0) meanAnswer_ = kFirstMean;
-    spread_ += kAnswerWeight * (std::abs(size - meanAnswer_) - spread_);
-    meanAnswer_ += kAnswerWeight * (size - meanAnswer_);
-}
-
 std::size_t Front::clientBacklog() const { return std::min(kClientBacklog, mostBytes_ / kClientsShare); }
 
 bool Front::idle() const {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -13,6 +13,7 @@
 #include "../net/loop.hpp"
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
+#include "../support/running_mean.hpp"
 
 namespace lotuslead::platform {
 
@@ -56,7 +57,6 @@
     bool makeRoom();
     bool roomForOne(std::size_t backlog) const;
     void forget(Client* client);
-    void learnAnswer(std::size_t bytes);
     std::size_t clientBacklog() const;
     void sweep();
     bool refuses() const;
@@ -74,8 +74,7 @@
     std::size_t mostClients_ = 0;
     std::size_t mostBytes_ = 0;
     std::size_t unsent_ = 0;  // bytes of answers that clients have not yet read, and of calls not yet taken
-    // Of answers of late: their mean, and how far they lie from it.
-    double meanAnswer_ = 0, spread_ = 0;
+    RunningMean answer_{0.02, 0.02, 60'000};  // bytes of answers of late; before any a quarter of the largest
     bool leaving_ = false;
     bool yielding_ = false;
     std::optional<core::Micros> drainingSince_;
--- a/src/platform/silence.hpp
+++ b/src/platform/silence.hpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
+
+#include "../support/running_mean.hpp"
 
 namespace lotuslead::platform {
 
@@ -17,19 +18,18 @@
     static constexpr Micros kMost{3'000'000};  // however slow answers are, a dead connection is found by then
 
     void learn(Micros silence) {
-        const Micros seen = std::clamp(silence, Micros{0}, kMost);
-        if (mean_.count() == 0) {
-            mean_ = seen;
-            deviation_ = seen / 2;
-            return;
-        }
-        deviation_ += (Micros{std::abs((seen - mean_).count())} - deviation_) / 4;
-        mean_ += (seen - mean_) / 8;
+        const auto seen = static_cast<double>(std::clamp(silence, Micros{0}, kMost).count());
+        if (known_.mean > 0) return known_.learn(seen);
+        known_.mean = seen;
+        known_.deviation = seen / 2;
+    }
+    Micros limit() const {
+        const double micros = known_.mean + 4 * known_.deviation;
+        return std::clamp(Micros{static_cast<Micros::rep>(micros)}, kLeast, kMost);
     }
-    Micros limit() const { return std::clamp(mean_ + 4 * deviation_, kLeast, kMost); }
 
 private:
-    Micros mean_{}, deviation_{};
+    RunningMean known_{1.0 / 8, 1.0 / 4};
 };
 
 }  // namespace lotuslead::platform
--- a/tests/fleet_size_test.cpp
+++ b/tests/fleet_size_test.cpp
@@ -174,6 +174,18 @@
     EXPECT_TRUE(zone.fills("known"));
 }
 
+// A fill at full pace shows the link to be free, for about as long as reports are late.
+TEST(ZoneLink, IsFreeForAWhileOnceAFillCameAtFullPace) {
+    BusyZone zone(5);
+    EXPECT_FALSE(zone.fills("known"));
+    const RequestId small = zone.harness.ask("known", 1, 0, 100, 10s);
+    zone.harness.took = 150ms;  // 0.1 s of sending, and the way
+    zone.harness.end(small, 0, Outcome::served, Note::filled);
+    EXPECT_TRUE(zone.fills("known"));
+    zone.harness.now += 500ms;
+    EXPECT_FALSE(zone.fills("known"));
+}
+
 // Fills served at once, one each 20 ms; how many came from this parent.
 int fillsFrom(Harness& h, std::string_view parent, int count, double kb) {
     int from = 0;
