--- a/src/gateway/meeting.cpp
+++ b/src/gateway/meeting.cpp
@@ -89,9 +89,9 @@
 void Meeting::listen(const std::string& folder, const std::string& path) {
     const std::string own = folder + "/lotuslead-" + std::to_string(::getpid()) + ".sock";
     sockaddr_un address{};
-    net::Descriptor fd = unixSocket();
-    errno = 0;
     ::unlink(own.c_str());
+    errno = 0;  // what is told is why there is no socket, not that there was nothing to unlink
+    net::Descriptor fd = unixSocket();
     if (!fd || !addressOf(path, address) || !addressOf(own, address) ||
         ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         ::listen(fd.get(), 4) != 0 || ::rename(own.c_str(), path.c_str()) != 0) {
