--- a/tests/fleet_size_test.cpp
+++ b/tests/fleet_size_test.cpp
@@ -238,8 +238,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Counts, FleetSize,
                          ::testing::Values(Fleet{1, false}, Fleet{4, false}, Fleet{4, true},
-                                           Fleet{100, false}, Fleet{100, true},
-                                           Fleet{300, false}, Fleet{300, true}));
+                                           Fleet{100, false}, Fleet{100, true}, Fleet{300, false},
+                                           Fleet{300, true}));
 
 }  // namespace
 }  // namespace lotuslead::testing
