--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -182,6 +182,11 @@
     return !purgedSince(request, send.pickedAt);
 }
 
+bool Decisions::mayRepeat(const Request& request, Micros ago) const {
+    const ClassSettings& c = words_.settings.classes[static_cast<std::size_t>(request.classIndex)];
+    return c.effect == Effect::safe || (c.effect == Effect::keyed && ago < c.repeatWindow);
+}
+
 bool Decisions::purgedSince(const Request& request, Micros when) const {
     const auto object = objectPurges_.find(request.object);
     if (object != objectPurges_.end() && object->second >= when) return true;
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -91,6 +91,8 @@
     // Whether a send picked earlier may still be begun: its hosts are still to be sent to, and no purge has
     // come that its limit on age does not know of.
     bool holds(const Request& request, const Verdict& send) const;
+    // Whether what may have run, sent so long ago, may be sent again.
+    bool mayRepeat(const Request& request, Micros ago) const;
     // Whether a purge of the object or its group was told at or after this moment.
     bool purgedSince(const Request& request, Micros when) const;
     Readiness readinessOf(const std::string& host) const;
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -4,6 +4,15 @@
 
 namespace lotuslead::core {
 
+namespace {
+
+bool mayHaveRun(Outcome outcome) {
+    return outcome != Outcome::notTaken && outcome != Outcome::noConnection && outcome != Outcome::notSent &&
+           outcome != Outcome::noCopy;
+}
+
+}  // namespace
+
 void Requests::take(Micros now, Request request, Answer answer) {
     const RequestId id = request.id;
     Job& job = jobs_[id];
@@ -71,10 +80,15 @@
     return std::min(timeout, decisions_.nextTick());
 }
 
-bool Requests::holds(RequestId id, int attempt) const {
+bool Requests::holds(Micros now, RequestId id, int attempt) const {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.out || found->second.send.attempt != attempt) return false;
-    return decisions_.holds(found->second.request, found->second.send);
+    const Job& job = found->second;
+    // Its client has left, and the settings may bar cancels.
+    if (job.answered) return false;
+    // Picked in time, a repeat may have waited until it would run anew.
+    if (job.mayHaveRun && !decisions_.mayRepeat(job.request, now - *job.mayHaveRun)) return false;
+    return decisions_.holds(job.request, job.send);
 }
 
 void Requests::follow(Micros now, std::vector<Verdict> verdicts) {
@@ -123,6 +137,7 @@
 std::vector<Verdict> Requests::close(Micros now, Job& job, AttemptReport report) {
     job.out = false;
     job.last = report.outcome;
+    if (mayHaveRun(report.outcome) && !job.mayHaveRun) job.mayHaveRun = job.sentAt;
     const Micros until = job.send.timeout.count() > 0
                              ? std::min(job.request.deadline, job.sentAt + job.send.timeout)
                              : job.request.deadline;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -77,7 +77,7 @@
     Micros nextTurn() const;
 
     // Whether the attempt may still be begun; asked right before its first byte.
-    bool holds(RequestId request, int attempt) const;
+    bool holds(Micros now, RequestId request, int attempt) const;
 
     std::size_t open() const { return open_; }
     const Counters& counters() const { return counters_; }
@@ -91,6 +91,7 @@
         bool out = false;  // an attempt is
         bool answered = false;
         std::optional<Outcome> last;
+        std::optional<Micros> mayHaveRun;  // an attempt sent then, the first such
     };
 
     void follow(Micros now, std::vector<Verdict> verdicts);
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -34,9 +34,12 @@
     virtual const char* part() const = 0;
     virtual nlohmann::json handOver() = 0;
     virtual void takeOver(const nlohmann::json& known) = 0;
-    virtual void stopListening() = 0;
+    // The end is near: what is open is answered at once, and what still comes is refused.
+    virtual void lastCall() = 0;
     virtual std::size_t openRequests() const = 0;
-    virtual bool settled() const = 0;  // no answer is owed, and all are with the kernel
+    // No answer is owed, all are with the kernel, and nothing that has come is unread. It takes in whoever
+    // still waits at the door.
+    virtual bool settled() = 0;
     virtual Micros longestDeadline() const = 0;
     virtual std::optional<settings::Endpoint> operatorDoor() const = 0;
     virtual void printCounters() const = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,22 +16,28 @@
 namespace {
 
 // After SIGTERM connections and requests still come for up to 0.6 s. SIGKILL comes no sooner than the longest
-// deadline (3 s at least) and 0.7 s after it.
+// deadline, counted as 3 s where it is longer, and 0.7 s after it.
 constexpr Micros kStillComing = 700ms;
-constexpr Micros kLeastDeadline = 3s;
-constexpr Micros kBeforeKill = 200ms;
+constexpr Micros kMostDeadline = 3s;
+constexpr Micros kLastCall = 150ms;   // before it: all that is open is answered
+constexpr Micros kBeforeKill = 40ms;  // and by then the process has ended, whoever has not read
 constexpr Micros kLeaveTick = 20ms;
 constexpr Micros kLongestStart = 1500ms;  // the platform waits 6 s
 
 }  // namespace
 
-Gateway::Gateway(std::optional<settings::Endpoint> door, const char* folder)
-    : folder_(folder), meeting_(loop_, *this), givenDoor_(std::move(door)) {
+sigset_t Gateway::holdSignals() {
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
     sigemptyset(&set);
     for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, number);
     sigprocmask(SIG_BLOCK, &set, nullptr);
+    return set;
+}
+
+Gateway::Gateway(std::optional<settings::Endpoint> door, const char* folder)
+    : folder_(folder), meeting_(loop_, *this), givenDoor_(std::move(door)) {
+    const sigset_t set = holdSignals();
     signals_.reset(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!signals_) throw std::system_error(errno, std::generic_category(), "signalfd");
     signalsId_ = loop_.add(signals_.get(), EPOLLIN, *this);
@@ -174,14 +180,17 @@
     if (phase_ != Phase::leaving) return;
     const Micros passed = loop_.now() - leavingSince_;
     if (passed < kStillComing && !handedOver_) return;
-    Micros longest = kLeastDeadline;
-    bool settled = true;
-    for (const auto& service : services_) {
-        longest = std::max(longest, service->longestDeadline());
-        settled = settled && service->settled() && (!handedOver_ || service->deserted());
+    Micros longest{};
+    for (const auto& service : services_) longest = std::max(longest, service->longestDeadline());
+    const Micros kill = std::min(longest, kMostDeadline) + kStillComing;
+    if (passed >= kill - kLastCall && !std::exchange(lastCall_, true)) {
+        std::fprintf(stderr, "lotuslead: last call, %zu requests open\n", openRequests());
+        for (const auto& service : services_) service->lastCall();
     }
-    if (!settled && passed < longest + kStillComing - kBeforeKill) return;
-    for (const auto& service : services_) service->stopListening();
+    bool settled = true;
+    for (const auto& service : services_)
+        settled = service->settled() && (!handedOver_ || service->deserted()) && settled;
+    if (!settled && passed < kill - kBeforeKill) return;
     phase_ = Phase::stopped;
     std::fprintf(stderr, "lotuslead: stopped, %zu requests open\n", openRequests());
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 // One gateway: its fronts on one loop, and its phases from start to exit.
 #pragma once
 
+#include <csignal>
 #include <memory>
 #include <vector>
 
@@ -16,6 +17,8 @@
     // Draining is the operators' and has a way back; leaving is what SIGTERM begins, and has none.
     enum class Phase { starting, serving, draining, leaving, stopped };
 
+    // What comes before there is a gateway waits for it: unheld, SIGHUP would end the process.
+    static sigset_t holdSignals();
     // `door`: the operators' address, which then holds whatever the configuration says.
     // `folder`: where this process meets the one that it replaces, and later the one that replaces it.
     Gateway(std::optional<settings::Endpoint> door, const char* folder);
@@ -53,6 +56,7 @@
     Phase phase_ = Phase::starting;
     bool reloadAsked_ = false, leaveAsked_ = false;
     bool handedOver_ = false;  // a successor serves while this process leaves
+    bool lastCall_ = false;    // what was open has been answered, and what still comes is refused
     core::Micros startedAt_{}, leavingSince_{};
     const char* folder_;
     Meeting meeting_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -42,6 +42,7 @@
                         "README has all variables");
         return 0;
     }
+    gateway::Gateway::holdSignals();
     try {
         const char* platformFile = variable("LB_CONFIG");
         const char* listening = variable("LB_SOCKET_FD");
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -124,6 +124,12 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::peerEnded() const {
+    char byte = 0;
+    const ssize_t got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 std::size_t Stream::untaken() const {
     int unacknowledged = 0;
     if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
@@ -143,6 +149,22 @@
     if (state_ == State::open && queue_.size() == 1) flush();
 }
 
+bool Stream::writeIfRoom(std::string bytes) {
+    if (state_ != State::open || !queue_.empty()) return false;
+    ssize_t sent = 0;
+    do sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    while (sent < 0 && errno == EINTR);
+    if (sent < 0) {
+        if (errno != EAGAIN && errno != EWOULDBLOCK) loop_.again(id_, EPOLLIN);  // the end is read there
+        return false;
+    }
+    if (static_cast<std::size_t>(sent) == bytes.size()) return true;
+    headSent_ = static_cast<std::size_t>(sent);
+    unsent_ = bytes.size() - headSent_;
+    queue_.push_back(std::move(bytes));
+    return true;
+}
+
 void Stream::flush() {
     constexpr std::size_t kPieces = 16;
     while (!queue_.empty()) {
@@ -198,6 +220,12 @@
         end(End::reset);
         return 0;
     }
+    if ((events & (EPOLLRDHUP | EPOLLHUP)) != 0) peerLeft_ = true;
+    // What it asked for before it left is wanted by nobody: taken now, it would only be sent on.
+    if (peerLeft_ && dropWithPeer_ && !gentle_) {
+        end(End::closedByPeer);
+        return 0;
+    }
     if ((events & EPOLLOUT) != 0) {
         flush();
         if (state_ == State::open && unsent_ == 0) {
@@ -215,7 +243,11 @@
     static thread_local std::array<char, kReadChunk> chunk;
     for (int i = 0; i < kReadsATurn; ++i) {
         readable_ = true;
-        if (paused_) return 0;
+        if (paused_) {
+            // Its end makes no further edge, and stands behind what is not read: it must not wait for that.
+            if (peerLeft_) end(End::closedByPeer);
+            return 0;
+        }
         const ssize_t got = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
         if (got < 0 && errno == EINTR) continue;
         if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -32,6 +32,9 @@
     bool opened() const { return state_ == State::open; }
     bool closed() const { return state_ == State::closed; }
     void write(std::string bytes);  // queued, and sent as far as the kernel takes it
+    // As that, but only if a byte can go out at once; false: none did, and nothing is queued. With room again
+    // streamDrained comes, or streamEnded.
+    bool writeIfRoom(std::string bytes);
     std::size_t unsent() const { return unsent_; }
     void pauseReading(bool paused);
     void close();              // at once; nothing is told any more
@@ -40,7 +43,10 @@
     // has sent too much: a close over unread bytes would be a reset, which takes back from the peer what it
     // has not yet read.
     void closeGently(Micros within);
-    bool quiet() const;                               // nothing has come in that was not read
+    bool quiet() const;      // nothing has come in that was not read
+    bool peerEnded() const;  // its end has come, with nothing before it unread
+    // Once the peer has left, what it sent before that is not read any more.
+    void dropWithPeer() { dropWithPeer_ = true; }
     bool allTaken() const { return untaken() == 0; }  // the peer's machine has all that was written
 
     std::uint32_t ready(std::uint32_t events) override;
@@ -65,6 +71,8 @@
     std::size_t unsent_ = 0;
     bool paused_ = false;
     bool readable_ = false;  // an edge came while paused
+    bool peerLeft_ = false;  // its end was seen behind what is still to be read
+    bool dropWithPeer_ = false;
     bool closing_ = false;
     bool gentle_ = false;
     bool shut_ = false;  // the peer has been told that nothing more comes
@@ -92,6 +100,8 @@
     Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority = Priority::usual);
     ~Listener() override;
     std::uint16_t port() const;
+    // Takes in connections that wait; false: there may be more.
+    bool takeWaiting() { return ready(EPOLLIN) == 0; }
     std::uint32_t ready(std::uint32_t events) override;
 
 private:
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -11,10 +11,11 @@
 namespace {
 
 // Events count as told after 7 s whether they arrived or not: a poll that hangs must be noticed well before.
-constexpr net::Micros kHold = 1s;
+// Within the time that the settings give for a drain, too, where a poll and the next one fit into it.
+constexpr net::Micros kHold = 1s, kLeastHold = 200ms;
 constexpr net::Micros kFirstHold = 1ms;  // a gateway that starts takes no client before it
-constexpr net::Micros kSilent = 500ms;   // beyond the hold, or within an answer: the way to it has gone
-constexpr net::Micros kAnswer = 5s;      // from its first byte to its last, however steadily it comes
+constexpr net::Micros kSilent = 500ms, kLeastSilent = 150ms;  // beyond the hold, or within an answer
+constexpr net::Micros kAnswer = 5s;  // from its first byte to its last, however steadily it comes
 constexpr net::Micros kConnect = 400ms;
 constexpr net::Micros kKeptWait = 200ms;  // for what was applied to be kept
 constexpr net::Micros kKeptAgain = 1ms;
@@ -24,7 +25,16 @@
 }  // namespace
 
 BusReader::BusReader(net::Loop& loop, Apply apply)
-    : loop_(loop), apply_(std::move(apply)), parser_(net::HttpParser::Kind::response, kLimits) {}
+    : loop_(loop),
+      apply_(std::move(apply)),
+      parser_(net::HttpParser::Kind::response, kLimits),
+      hold_(kHold),
+      silent_(kSilent) {}
+
+void BusReader::obeyWithin(net::Micros grace) {
+    hold_ = grace.count() > 0 ? std::clamp(grace / 2, kLeastHold, kHold) : kHold;
+    silent_ = grace.count() > 0 ? std::clamp(grace * 3 / 10, kLeastSilent, kSilent) : kSilent;
+}
 
 BusReader::~BusReader() {
     if (timer_) loop_.cancel(*timer_);
@@ -95,11 +105,11 @@
 
 void BusReader::ask() {
     ++counters_.polls;
-    const net::Micros hold = heard_ ? kHold : kFirstHold;
+    const net::Micros hold = heard_ ? hold_ : kFirstHold;
     stream_->write("GET /bus/read?from=" + std::to_string(offset_) +
                    "&hold=" + std::to_string(hold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus().host + ":" +
                    std::to_string(bus().port) + "\r\n\r\n");
-    arm(hold + kSilent, [this] { reconnect("silent"); });
+    arm(hold + silent_, [this] { reconnect("silent"); });
 }
 
 // A stuck disk holds this up for so long only: further purges must come.
@@ -121,7 +131,7 @@
     // An answer may come byte by byte; one that stops within is asked for again, from the last event had.
     if (!begunAt_) begunAt_ = loop_.now();
     const net::Micros left = std::max(net::Micros{0}, *begunAt_ + kAnswer - loop_.now());
-    arm(std::min(kSilent, left), [this] { reconnect("stopped within an answer"); });
+    arm(std::min(silent_, left), [this] { reconnect("stopped within an answer"); });
     return true;
 }
 
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -38,6 +38,8 @@
     // all. Of several, which tell the same events under the same numbers, one is asked until it is silent,
     // refuses or is behind what was applied; then the next.
     void moveTo(const std::vector<settings::Endpoint>& buses);
+    // A watch that has gone silent is given up well before what it should have told must be obeyed.
+    void obeyWithin(net::Micros grace);
     // An event that came by another way, such as a configuration: applied if it is a later one.
     void take(const settings::BusBatch& batch);
     // It has answered since the start, or there is none.
@@ -69,6 +71,7 @@
     net::HttpParser parser_;
     std::shared_ptr<net::Stream> stream_;
     std::optional<net::Loop::TimerKey> timer_;
+    net::Micros hold_, silent_;
     int failures_ = 0;  // in a row
     bool heard_ = false;
     std::optional<net::Micros> begunAt_;  // of the answer in hand
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -31,6 +31,7 @@
 constexpr Micros kGentle = 500ms;          // for what was answered to be read before the close
 constexpr Micros kSilentYoung = 200ms;     // a new connection may still be about to ask
 constexpr Micros kStalledYoung = 50ms;     // and one that writes may be between two pieces
+constexpr Micros kHalfAtTheEnd = 200ms;    // and before the process ends it has so long to go on
 constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
 // Operators send clients away: 4 s after that nobody is to be held.
 constexpr Micros kSweep = 50ms;
@@ -40,7 +41,7 @@
 constexpr Micros kDrainEnds = 2300ms;
 constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
 constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
-constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
+constexpr std::size_t kMessagesATurn = 16;    // of one client; then the others have their turn
 constexpr int kMostStrikes = 12;              // useless messages in a row that a connection may bring
 constexpr std::int64_t kLongestPatienceMs = 600'000;
 constexpr std::int64_t kLastBlock = 1'000'000;
@@ -51,6 +52,11 @@
            std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+std::string pauseFields(Micros pause) {
+    const auto ms = pause.count() / 1000;
+    return ms > 0 ? "pause=" + std::to_string(ms) : "-";
+}
+
 // What the stores are given is checked here, as far as a form can be checked: a store closes the connection
 // on what it can't read, whatever else is open there.
 bool usable(const Fields& fields, const core::Request& request) {
@@ -76,7 +82,9 @@
           parser_({8, 64 * 1024, 80 * 1024}),
           connectedAt_(owner.loop_.now()),
           lastUsed_(connectedAt_),
+          lastByte_(connectedAt_),
           stream_(owner.loop_, std::move(fd), *this) {
+        stream_.dropWithPeer();
         watch(kFirstMessage);
     }
     ~Client() override { abandon(); }
@@ -88,6 +96,17 @@
     bool half() const { return parser_.midMessage(); }
     bool fresh() const { return !used_; }
     bool young() const { return owner_.loop_.now() - lastUsed_ < (half() ? kStalledYoung : kSilentYoung); }
+    // The process may end: nothing of a request is here, and none is to be expected right now.
+    bool settled() const {
+        if (!idle() || (!ending_ && !stream_.quiet())) return false;
+        const Micros still = owner_.loop_.now() - lastByte_;
+        return ending_ || (used_ ? !half() || still >= kHalfAtTheEnd : still >= kSilentYoung);
+    }
+    void lastCall() {
+        failOpen();
+        endIfAnswered();
+        settle();
+    }
     Micros lastUsed() const { return lastUsed_; }  // before its first message: when something last came
 
     // Clients are to go: an end where nothing is open, unread or still on its way to the client, which then
@@ -130,7 +149,8 @@
     // ----- input -----
 
     bool streamData(std::string_view data) override {
-        if (!used_) lastUsed_ = owner_.loop_.now();
+        lastByte_ = owner_.loop_.now();
+        if (!used_) lastUsed_ = lastByte_;
         ahead_.append(data);
         takeMessages();
         return true;
@@ -141,14 +161,18 @@
     void takeMessages() {
         if (stream_.closed() || ending_) return;
         std::string_view rest = ahead_;
-        bool fits = true;
-        for (int left = kMessagesATurn; left > 0 && fits && !rest.empty() && !ending_;) {
-            const auto status = parser_.feed(rest);
-            fits = status != net::RespParser::Status::malformed;
-            if (status != net::RespParser::Status::message) continue;
-            --left;
-            fits = take(parser_.take());
+        using Status = net::RespParser::Status;
+        auto status = Status::needMore;
+        std::vector<std::vector<std::string>> messages;
+        while (messages.size() < kMessagesATurn && status != Status::malformed && !rest.empty()) {
+            status = parser_.feed(rest);
+            if (status == Status::message) messages.push_back(parser_.take());
         }
+        takeBackAhead(messages);
+        bool fits = true;
+        for (auto message = messages.begin(); message != messages.end() && fits && !ending_; ++message)
+            fits = message->empty() || take(std::move(*message));
+        fits = fits && status != Status::malformed;
         if (stream_.closed() || ending_) return;
         if (!fits) return spoilt();
         ahead_.erase(0, ahead_.size() - rest.size());
@@ -162,6 +186,20 @@
         settle();
     }
 
+    // A call that its client has taken back already is not sent on first: both may have waited for long.
+    void takeBackAhead(std::vector<std::vector<std::string>>& messages) {
+        for (auto call = messages.begin(); call != messages.end(); ++call) {
+            const auto& words = *call;
+            if (words.size() < 3 || words[0] != "CALL" || !isTag(words[1]) || open_.count(words[1]) > 0)
+                continue;
+            const auto back = std::find_if(call + 1, messages.end(), [&](const auto& later) {
+                return later.size() >= 2 && later[0] == "CANCEL" && later[1] == words[1];
+            });
+            if (back == messages.end()) continue;
+            call->clear();
+            strike();
+        }
+    }
     // What comes next can't be told apart any more. What was taken has its answer, and the client the time to
     // read it.
     void spoilt() {
@@ -267,12 +305,12 @@
         lastCall_ = owner_.loop_.now();
         if (owner_.refuses()) {
             ++owner_.counters_.drainRefused;
-            answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+            answer(tag, "SHED", owner_.noRoomFields(), {});
             return true;
         }
         if (retired_ || open_.size() >= kOpenAConnection) {
             ++owner_.counters_.beyondBound;
-            answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+            answer(tag, "SHED", owner_.noRoomFields(), {});
             strike();
             return true;
         }
@@ -295,7 +333,7 @@
         }
         if (!owner_.roomForOne(counted_)) {
             ++owner_.counters_.noRoom;
-            answer(tag, "SHED", "pause=" + std::to_string(kNoRoomPause.count() / 1000), {});
+            answer(tag, "SHED", owner_.noRoomFields(), {});
             return true;
         }
         request.id = owner_.nextId_++;
@@ -332,14 +370,13 @@
             owner_.answer_.learn(static_cast<double>(reply.payload.body.size()));
             if (reply.payload.unchanged) {
                 answer(tag, "SERVED", "keep=1", {});
-            } else if (owner_.unsent_ + reply.payload.body.size() > owner_.mostBytes_) {
+            } else if (owner_.unsent_ + reply.payload.body.size() > owner_.mostFor(counted_)) {
                 ++owner_.counters_.dropped;
                 answer(tag, "ERR", "-", {});
             } else
                 answer(tag, "SERVED", "-", std::move(reply.payload.body));
         } else if (reply.word == Reply::Word::refused) {
-            const auto pause = reply.pause.count() / 1000;
-            answer(tag, "SHED", pause > 0 ? "pause=" + std::to_string(pause) : "-", {});
+            answer(tag, "SHED", pauseFields(reply.pause), {});
         } else {
             answer(tag, "ERR", "-", {});
         }
@@ -369,7 +406,8 @@
     void settle() {
         count(stream_.unsent() + ahead_.size() + parser_.held());
         if (ending_) return;
-        stream_.pauseReading(!ahead_.empty() || stream_.unsent() > owner_.clientBacklog());
+        const bool behind = stream_.unsent() > owner_.clientBacklog() && !owner_.lastCall_;
+        stream_.pauseReading(!ahead_.empty() || behind);
     }
     void count(std::size_t unsent) {
         owner_.unsent_ += unsent;
@@ -382,7 +420,7 @@
     std::string ahead_;                           // read, and not yet taken
     std::unordered_map<std::string, Call> open_;  // by tag
     std::size_t counted_ = 0;
-    Micros connectedAt_, lastUsed_, lastCall_{};
+    Micros connectedAt_, lastUsed_, lastByte_, lastCall_{};
     std::optional<net::Loop::TimerKey> watch_, resume_;
     int strikes_ = 0;
     bool used_ = false;     // a whole message has come
@@ -455,7 +493,9 @@
     sweep_.reset();
 }
 
-bool Front::refuses() const { return drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses; }
+bool Front::refuses() const {
+    return lastCall_ || (drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses);
+}
 
 void Front::sweep() {
     std::optional<Micros> refusing;
@@ -511,15 +551,32 @@
     const auto open = static_cast<double>(requests_.open() + 1);
     const double coming =
         open * answer_.mean + kSpreads * std::sqrt(open) * answer_.deviation + kLargestAnswer;
-    const auto most = static_cast<double>(backlog > kSlow ? mostBytes_ / 2 : mostBytes_);
-    return coming + static_cast<double>(unsent_) <= most;
+    return coming + static_cast<double>(unsent_) <= static_cast<double>(mostFor(backlog));
+}
+
+std::size_t Front::mostFor(std::size_t backlog) const {
+    return backlog > kSlow ? mostBytes_ / 2 : mostBytes_;
+}
+
+std::string Front::noRoomFields() const {
+    const Settings& s = words_.settings;
+    const Micros most = std::chrono::duration_cast<Micros>(s.maxRetryHint);
+    return pauseFields(s.retryHints ? std::min(kNoRoomPause, most) : Micros{0});
 }
 
 std::size_t Front::clientBacklog() const { return std::min(kClientBacklog, mostBytes_ / kClientsShare); }
 
-bool Front::idle() const {
+void Front::lastCall() {
+    lastCall_ = true;
+    std::vector<std::shared_ptr<Client>> all;  // an end takes it from the table
+    for (const auto& [key, client] : clients_) all.push_back(client);
+    for (const auto& client : all) client->lastCall();
+}
+
+bool Front::settled() {
+    if (listener_ && !listener_->takeWaiting()) return false;
     return std::all_of(clients_.begin(), clients_.end(),
-                       [](const auto& entry) { return entry.second->idle(); });
+                       [](const auto& entry) { return entry.second->settled(); });
 }
 
 void Front::forget(Client* client) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -45,7 +45,9 @@
     // but says no to nobody.
     void yield();
     bool deserted() const { return clients_.empty(); }
-    bool idle() const;  // nothing is owed and all answers are with the kernel
+    void lastCall();  // what is open is failed at once, what still comes refused
+    // Nothing is owed, all answers are with the kernel and all that has come is read; who waits is taken in.
+    bool settled();
     std::size_t clients() const { return clients_.size(); }
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
@@ -56,6 +58,9 @@
     void accept(net::Descriptor fd);
     bool makeRoom();
     bool roomForOne(std::size_t backlog) const;
+    // Bytes that may be held with those for a client that has so many unread.
+    std::size_t mostFor(std::size_t backlog) const;
+    std::string noRoomFields() const;  // of a refusal here, as far as the settings allow a hint
     void forget(Client* client);
     std::size_t clientBacklog() const;
     void sweep();
@@ -77,6 +82,7 @@
     // Bytes of the last fifty answers or so; before any, a quarter of the largest.
     RunningMean answer_{0.02, 0.02, 60'000};
     bool leaving_ = false;
+    bool lastCall_ = false;
     bool yielding_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -46,6 +46,7 @@
     }
     void prepare() override {
         bus_.take(settings::readBatch(baseOf(configuration_).known));
+        bus_.obeyWithin(drainGrace());
         bus_.moveTo(baseOf(configuration_).bus);
     }
     bool prepared() const override {
@@ -71,6 +72,7 @@
             decisions_.reconfigure(baseOf(fresh).words);
             configuration_ = std::move(fresh);
             reloadTier(freshDisk);
+            bus_.obeyWithin(drainGrace());
             bus_.take(known);  // events that came by the event bus already are not applied again
             bus_.moveTo(baseOf(configuration_).bus);
             std::fprintf(stderr, "%s: configuration read again\n", name.c_str());
@@ -100,9 +102,9 @@
         carrier_.share(processes);
         decisions_.share(processes);
     }
-    void stopListening() override { front_.stopListening(); }
+    void lastCall() override { front_.lastCall(); }
     std::size_t openRequests() const override { return requests_.open(); }
-    bool settled() const override { return requests_.open() == 0 && front_.idle(); }
+    bool settled() override { return requests_.open() == 0 && front_.settled(); }
     core::Micros longestDeadline() const override {
         return core::longestGiveUp(baseOf(configuration_).words.settings);
     }
@@ -134,7 +136,9 @@
           requests_(decisions_, before_, purged),
           front_(loop_, requests_, configuration_),
           bus_(loop_, [this](const settings::BusEvent& event) { apply(event); }) {
-        carrier_.listen({[this](RequestId request, int attempt) { return requests_.holds(request, attempt); },
+        carrier_.listen({[this](RequestId request, int attempt) {
+                             return requests_.holds(loop_.now(), request, attempt);
+                         },
                          [this](core::AttemptEnd end) { before_.ended(loop_.now(), std::move(end)); }});
         before_.listen([this](core::AttemptEnd end) { requests_.ended(loop_.now(), std::move(end)); });
         before_.reconfigure(&baseOf(configuration_).words.settings.classes, formOf(configuration_), pacer());
@@ -156,6 +160,9 @@
     Front front_;
 
 private:
+    core::Micros drainGrace() const {
+        return std::chrono::duration_cast<core::Micros>(baseOf(configuration_).words.settings.drainGrace);
+    }
     void apply(const settings::BusEvent& event) {
         if (!event.isList) {
             if (tier_ && event.purgedObject.empty())
--- a/src/platform/silence.hpp
+++ b/src/platform/silence.hpp
@@ -17,6 +17,8 @@
     static constexpr Micros kLeast{300'000};   // what a store under way with many requests never reaches
     static constexpr Micros kMost{3'000'000};  // however slow answers are, a dead connection is found by then
 
+    // Where requests may not wait so long, a dead connection must be found sooner.
+    void bound(Micros most) { most_ = std::clamp(most, kLeast, kMost); }
     void learn(Micros silence) {
         const auto seen = static_cast<double>(std::clamp(silence, Micros{0}, kMost).count());
         if (known_.mean > 0) return known_.learn(seen);
@@ -25,10 +27,11 @@
     }
     Micros limit() const {
         const double micros = known_.mean + 4 * known_.deviation;
-        return std::clamp(Micros{static_cast<Micros::rep>(micros)}, kLeast, kMost);
+        return std::clamp(Micros{static_cast<Micros::rep>(micros)}, kLeast, most_);
     }
 
 private:
+    Micros most_ = kMost;
     RunningMean known_{1.0 / 8, 1.0 / 4};
 };
 
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -23,7 +23,7 @@
 // Past the limit of silence: those out are given up, if others that were sent later were answered.
 constexpr Micros kStuck = 500ms;
 constexpr Micros kStalled = 300ms;         // within an answer: answers come whole, or not at all
-constexpr Micros kLongAnswer = 3s;         // from its first byte to its last, however steadily it comes
+constexpr Micros kLongAnswer = 3s;         // at most, from an answer's first byte to its last
 constexpr std::size_t kMostLinks = 6;      // to one store
 constexpr std::size_t kLastAnswered = 64;  // whose second copies a connection knows
 constexpr std::size_t kLargestAnswer = 240'000;
@@ -103,6 +103,8 @@
     }
 
     bool usable() const { return !ended_ && !shunned_; }
+    // It came up at or after this moment.
+    bool openedSince(Micros moment) const { return openedAt_ && *openedAt_ >= moment; }
     Micros silentFor() const {
         return out_.empty() ? Micros{0} : owner_.loop_.now() - std::max(lastByte_, waitsSince_);
     }
@@ -130,6 +132,7 @@
             restIfIdle();
             return true;
         }
+        const auto self = shared_from_this();
         for (auto it = out_.begin(); it != out_.end(); ++it) {
             if (it->second.request != request || it->second.attempt != attempt) continue;
             std::string words;
@@ -139,7 +142,12 @@
                 shunned_ = true;
             out_.erase(it);
             stream_.write(std::move(words));
-            restIfIdle();
+            // A store that takes no bytes would be told behind the request itself, which may by then be out
+            // at another one: a close gives up all that is open here.
+            if (stream_.unsent() > 0)
+                fail(Outcome::broken, Verdict::none, true);
+            else
+                restIfIdle();
             return false;
         }
         return false;
@@ -168,6 +176,8 @@
                 ++owner_.counters_.movedOn;
                 auto shared = std::make_shared<Waiting>(w);
                 ++shared->moves;
+                const auto place = owner_.places_.find(w.send.request);
+                if (place != owner_.places_.end()) place->second.link.reset();  // not written on any
                 // Later in the turn: the end may have come in the middle of another's send.
                 owner_.loop_.post([owner = &owner_, shared] { owner->carry(std::move(*shared)); });
             } else {
@@ -183,9 +193,11 @@
         Micros writtenAt;
         bool known;                  // the client's copy was named
         std::int64_t leastMintedMs;  // a copy made before is too old; Unix time
+        bool repeatable;
     };
 
     void streamOpened() override {
+        openedAt_ = owner_.loop_.now();
         stopTimer();
         flush();
         restIfIdle();
@@ -212,7 +224,7 @@
             return fits;
         }
         if (!half_) half_ = lastByte_;
-        const Micros wait = std::min(kStalled, std::max(Micros{0}, *half_ + kLongAnswer - lastByte_));
+        const Micros wait = std::min(kStalled, std::max(Micros{0}, *half_ + owner_.longAnswer_ - lastByte_));
         stallTimer_ = owner_.loop_.after(wait, [this] {
             stallTimer_.reset();
             ++owner_.counters_.stalled;
@@ -272,9 +284,9 @@
         end.note = noteOf(fields.text("remark"));
         if (*outcome == Outcome::served &&
             fields.whole("minted").value_or(found->second.leastMintedMs) < found->second.leastMintedMs) {
-            // Passed on, it would be an answer from before a purge.
+            // Passed on, it would be an answer from before a purge. What is not to run twice did run.
             ++owner_.counters_.tooOld;
-            end.outcome = Outcome::noCopy;
+            end.outcome = found->second.repeatable ? Outcome::noCopy : Outcome::error;
         }
         if (end.outcome == Outcome::served) {
             end.payload.unchanged = words[1] == "current";
@@ -305,24 +317,34 @@
 
     void flush() {
         while (stream_.opened() && !waiting_.empty() && stream_.unsent() == 0) {
-            Waiting next = std::move(waiting_.front());
-            waiting_.pop_front();
+            // The store has closed, and that has not been handled yet: what is written now would be lost, and
+            // count as perhaps run.
+            if (stream_.peerEnded())
+                return fail(Outcome::broken, heard_ ? Verdict::one : Verdict::none, true);
+            const Waiting& next = waiting_.front();
             const Micros now = owner_.loop_.now();
             const Micros waited = now - next.send.pickedAt;
             if (waited.count() > 0 && !owner_.callbacks_.holds(next.send.request, next.send.attempt)) {
                 ++owner_.counters_.heldBack;
                 report(next.send.request, next.send.attempt, Outcome::notSent);
+                waiting_.pop_front();
                 continue;
             }
             const core::Request& request = *next.request;
-            if (out_.empty()) waitsSince_ = now;
-            if (!silenceTimer_) watchSilence(owner_.silence_.limit());
-            out_[request.label] = {next.send.request, next.send.attempt, now, !request.known.empty(),
-                                   owner_.leastMintedMs(next.send.oldest)};
             std::string words;
             const std::string fields = fieldsOf(request, next.send, waited);
             net::appendResp(words, {"PULL", request.label, fields, request.body});
-            stream_.write(std::move(words));
+            // No room for its first byte: it waits on, and is looked at again before it goes.
+            if (!stream_.writeIfRoom(std::move(words))) return;
+            if (out_.empty()) waitsSince_ = now;
+            if (!silenceTimer_) watchSilence(owner_.silence_.limit());
+            out_[request.label] = {next.send.request,
+                                   next.send.attempt,
+                                   now,
+                                   !request.known.empty(),
+                                   owner_.leastMintedMs(next.send.oldest),
+                                   owner_.repeatable_.at(static_cast<std::size_t>(request.classIndex))};
+            waiting_.pop_front();
         }
     }
 
@@ -369,6 +391,7 @@
     Stores& owner_;
     std::string host_;
     Micros lastByte_, lastAnswer_{};
+    std::optional<Micros> openedAt_;
     Micros waitsSince_{};  // for any answer
     bool heard_ = false;   // anything at all
     net::RespParser parser_;
@@ -403,6 +426,11 @@
         idleClose_ = std::chrono::duration_cast<Micros>(words.idleClose) * 9 / 10;
     sockets_ = static_cast<std::size_t>(configuration.limits.sockets);
     share(processes_);
+    const Micros longest = core::longestGiveUp(words.settings);
+    silence_.bound(longest / 2);
+    longAnswer_ = std::min(kLongAnswer, longest / 2);
+    repeatable_.clear();
+    for (const ClassSettings& c : words.settings.classes) repeatable_.push_back(c.effect == Effect::safe);
     mayProbe_ = words.settings.mayProbe;
     if (words.streamsPerConnection > 0) streams_ = static_cast<std::size_t>(words.streamsPerConnection);
 }
@@ -441,7 +469,10 @@
         // A restart has ended whatever the old process held; and an address may have a new owner.
         const bool restarted = listed.sinceMs > store.sinceMs && !store.address.empty();
         const bool moved = !listed.address.empty() && listed.address != store.address;
-        if (restarted || moved) dropAll(store);
+        if (moved)
+            dropAll(store);
+        else if (restarted)
+            dropBefore(store, std::chrono::milliseconds{listed.sinceMs} - unixAhead_);
         if (!listed.address.empty()) store.address = listed.address;
         store.sinceMs = listed.sinceMs;
     }
@@ -452,6 +483,13 @@
     for (const auto& link : links) link->fail(Outcome::broken, Link::Verdict::none);
 }
 
+// Lists come late: a connection may be the new process's already.
+void Stores::dropBefore(Store& store, Micros restart) {
+    const auto links = store.links;
+    for (const auto& link : links)
+        if (!link->openedSince(restart)) link->fail(Outcome::broken, Link::Verdict::none, true);
+}
+
 void Stores::drop(const std::string& host, Link* link) {
     const auto found = stores_.find(host);
     if (found == stores_.end()) return;
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -67,6 +67,7 @@
     void tell(core::AttemptEnd end);
     void drop(const std::string& host, Link* link);
     void dropAll(Store& store);
+    void dropBefore(Store& store, core::Micros restart);
 
     std::int64_t leastMintedMs(core::Micros oldest) const;
 
@@ -74,6 +75,8 @@
     core::Micros unixAhead_;
     core::Micros connectTimeout_{}, idleClose_{};
     std::size_t streams_ = 0;
+    core::Micros longAnswer_{};     // from an answer's first byte to its last, however steadily it comes
+    std::vector<bool> repeatable_;  // by class: what has run may run again
     std::size_t sockets_ = 0, mostConnections_ = 0;
     int processes_ = 1;
     bool mayProbe_ = false;
--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -87,6 +87,16 @@
     // At rest: nothing of a further request has come, read or unread.
     bool resting() const { return idle() && ahead_.empty() && !parser_.midMessage() && stream_.quiet(); }
     Micros lastMoved() const { return lastMoved_; }
+    bool settled() const { return closing_ ? idle() : resting(); }
+    void lastCall() {
+        if (!job_) return;
+        if (job_->asked) {
+            const RequestId id = *std::exchange(job_->asked, std::nullopt);
+            settleExpected();
+            owner_.requests_.withdraw(owner_.loop_.now(), id);
+        }
+        job_->begun ? breakOff("the process ends") : unavailable(1s);
+    }
     void endForDrain() {
         if (job_ || closing_ || !ahead_.empty() || !stream_.allTaken() || !stream_.quiet()) return;
         if (parser_.midMessage() || owner_.loop_.now() - connectedAt_ < kSilentDrained) return;
@@ -508,7 +518,9 @@
     sweep_.reset();
 }
 
-bool Front::refuses() const { return drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses; }
+bool Front::refuses() const {
+    return lastCall_ || (drainingSince_ && loop_.now() - *drainingSince_ >= kDrainRefuses);
+}
 
 void Front::sweep() {
     for (const auto& [key, client] : clients_) client->endForDrain();
@@ -542,9 +554,15 @@
 
 bool Front::roomFor(std::size_t bytes) const { return expected_ + unsent_ + bytes <= mostBytes_; }
 
-bool Front::idle() const {
+void Front::lastCall() {
+    lastCall_ = true;
+    for (const auto& [key, client] : clients_) client->lastCall();
+}
+
+bool Front::settled() {
+    if (listener_ && !listener_->takeWaiting()) return false;
     return std::all_of(clients_.begin(), clients_.end(),
-                       [](const auto& entry) { return entry.second->idle(); });
+                       [](const auto& entry) { return entry.second->settled(); });
 }
 
 void Front::forget(Client* client) {
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -30,17 +30,18 @@
     // Other limits and routes are read from the configuration that it was given; throws like the platform's
     // front.
     void reconfigure(const settings::RepositoryConfiguration& configuration);
-    void stopListening() { listener_.reset(); }
+    // What is open is answered or broken off at once, what still comes refused.
+    void lastCall();
     void leave() { leaving_ = true; }  // connections are not kept any more
     // As at the platform's front: what still comes is served, and refused later on. Downloads go on.
     void drain();
     void undrain();
     void yield() {
-        stopListening();
+        listener_.reset();
         drain();
     }
     bool deserted() const { return clients_.empty(); }
-    bool idle() const;
+    bool settled();  // as at the platform's front
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
 
@@ -66,6 +67,7 @@
     std::size_t unsent_ = 0;    // bytes of answers that clients have not yet read
     std::size_t expected_ = 0;  // bytes that the requests in hand may yet bring
     bool leaving_ = false;
+    bool lastCall_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -38,6 +39,8 @@
     explicit Connection(int fd) : fd_(fd) {
         const timeval limit{kPatience, 0};
         ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        const int on = 1;  // what is sent is under way at once, whoever has not read what came before
+        ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
     // With `room`, the system keeps about so many bytes that were not read yet.
     explicit Connection(std::uint16_t port, int room = 0)
@@ -64,6 +67,7 @@
         ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     }
     void shut() { ::shutdown(fd_, SHUT_RDWR); }
+    void shutSending() { ::shutdown(fd_, SHUT_WR); }
 
     // An empty answer: the peer has closed.
     std::vector<std::string> readResp() {
@@ -365,6 +369,24 @@
         std::abort();
     }
     void signal(int number) { ::kill(pid_, number); }
+    // Nothing of it runs until goOn(): what comes meanwhile is all there in its next turn.
+    void stop() {
+        ::kill(pid_, SIGSTOP);
+        int status = 0;
+        ::waitpid(pid_, &status, WUNTRACED);
+        assert(WIFSTOPPED(status));
+    }
+    void goOn() { ::kill(pid_, SIGCONT); }
+    // Prints its counters until they have this text.
+    void awaitCounters(const std::string& text) {
+        const std::size_t from = log().size();
+        for (int i = 0; i < kPatience * 100; ++i, std::this_thread::sleep_for(10ms)) {
+            signal(SIGUSR1);
+            if (log().find(text, from) != std::string::npos) return;
+        }
+        std::fprintf(stderr, "never counted '%s':\n%s\n", text.c_str(), log().c_str());
+        std::abort();
+    }
     // Until the log has this text; returns the log.
     std::string awaitLog(const std::string& text, int times = 1) const {
         for (int i = 0; i < kPatience * 200; ++i, std::this_thread::sleep_for(5ms)) {
--- /dev/null
+++ b/tests/moments_test.cpp
@@ -0,0 +1,491 @@
+// Moments that are rare in service, each forced: what comes between two lines of the gateway's own.
+#include <sys/stat.h>
+
+#include <cstring>
+
+#include "loopback.hpp"
+
+namespace {
+
+using namespace lotuslead::testing;
+using Clock = std::chrono::steady_clock;
+
+const std::string kKey = ",nonce=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+json& category(json& settings, std::size_t at) { return settings["settings"]["categories"][at]; }
+void limitAll(json& settings, long long ms) {
+    for (auto& one : settings["settings"]["categories"]) {
+        one["hardLimit"] = ms * 1'000'000;
+        one["aim"] = ms * 500'000;
+    }
+}
+
+// Its link holds all that comes.
+json withRoomFor(json cache, const Fleet& fleet) {
+    cache["weight"] = 1000;
+    json settings = configuration(fleet.with({cache}));
+    settings["settings"]["weights"] = "nominal";
+    return settings;
+}
+
+// A store whose connections do not come up before it is started.
+struct LateStore {
+    Peer peer{nullptr, 0};
+    Connection filler{peer.port()};
+    Mark pulls;
+    std::mutex mutex;
+    std::vector<std::string> labels;
+
+    void start() {
+        peer.start(store([this](Connection& c, const std::vector<std::string>& words) {
+            {
+                const std::lock_guard lock(mutex);
+                labels.push_back(words[1]);
+            }
+            pulls.raise();
+            serving("late store")(c, words);
+        }));
+    }
+};
+
+void callFor(Connection& client, int number, const std::string& entity) {
+    char trace[17];
+    static int count = 0x1000000;
+    std::snprintf(trace, sizeof trace, "%016x", ++count);
+    client.sendResp({"CALL", std::to_string(number), "page",
+                     "trace=" + std::string(trace) + ",patience=8000,entity=" + entity + ",block=0", ""});
+}
+
+// After a round trip of another client all that came before has been handled.
+void settle(std::uint16_t port) {
+    for (int i = 1; i <= 3; ++i) {
+        Connection c(port);
+        c.sendResp({"CHECK", "1", ""});
+        assert(!c.readResp().empty());
+    }
+}
+
+// ----- the end of the process -----
+
+void whatIsOpenIsAnsweredBeforeSigkillMayCome() {
+    // The longest deadline, counted as 3 s where it is longer, and 0.7 s more.
+    for (const auto& [longest, kill] : {std::pair{1500, 2200ms}, std::pair{9000, 3700ms}}) {
+        Fleet fleet;
+        Mark pulled;
+        Peer cache(store([&](Connection&, const std::vector<std::string>&) { pulled.raise(); }));
+        json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+        limitAll(settings, longest);
+        settings["settings"]["allowed"]["mostTries"] = 1;
+        Program program(settings);
+        Connection client(program.port()), keyed(program.port());
+        call(client, "1");
+        call(keyed, "1", kKey, "checkout");
+        pulled.await(2);
+        const auto begin = Clock::now();
+        program.signal(SIGTERM);
+        assert(client.readResp().at(0) == "1");
+        const auto answer = keyed.readResp();
+        assert(answer.at(0) == "1" && answer[1] != "SERVED");
+        assert(client.closed());  // one answer
+        assert(program.exitCode() == 0);
+        assert(Clock::now() - begin < kill);
+        assert(program.log().find("stopped, 0 requests open") != std::string::npos);
+    }
+}
+
+// The crowd connects and asks while the process stands still, until it might already end.
+void whoWaitsAtTheDoorIsServedBeforeTheEnd() {
+    Fleet fleet;
+    Peer cache(store(serving("in the end")));
+    Program program(withRoomFor(host("cache-1", cache.address()), fleet));
+    const std::uint16_t port = program.port();
+    program.signal(SIGTERM);
+    program.awaitLog("leaving, 0 requests open");
+    program.stop();
+    std::vector<std::unique_ptr<Connection>> crowd;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(std::make_unique<Connection>(port));
+        call(*crowd.back(), "1");
+    }
+    std::this_thread::sleep_for(800ms);  // the time for which connections still come
+    program.goOn();
+    for (const auto& c : crowd)
+        assert((c->readResp() == std::vector<std::string>{"1", "SERVED", "-", "in the end"}));
+    assert(program.exitCode() == 0);
+}
+
+void aSignalBeforeThereIsAGatewayWaits() {
+    const std::string pipe = "/tmp/lotuslead-pipe-" + std::to_string(::getpid());
+    const int made = ::mkfifo(pipe.c_str(), 0600);
+    assert(made == 0);
+    Program program(configuration({}), "LB_CONFIG", 1024, {{"LB_DISK", pipe}});
+    std::ofstream file(pipe);  // opens once the process reads it, which is before all else
+    program.signal(SIGHUP);
+    file << "{";
+    file.close();
+    assert(program.exitCode() == 2);
+    std::remove(pipe.c_str());
+}
+
+// ----- clients that leave -----
+
+void whatWasTakenBackBeforeItWasReadIsNotSentOn() {
+    Fleet fleet;
+    Mark pulled;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        serving("here")(c, words);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    const std::uint16_t port = program.port();
+    Connection stays(port);
+    stays.sendResp({"CHECK", "1", ""});
+    assert(stays.readResp()[1] == "PASS");
+    call(stays, "1");
+    assert(stays.readResp()[1] == "SERVED");  // the connection to the store is up
+    program.stop();
+    {
+        Connection goes(port);
+        call(goes, "1");
+        call(goes, "2");
+    }
+    call(stays, "2");
+    stays.sendResp({"CANCEL", "2"});
+    call(stays, "3");
+    program.goOn();
+    assert(stays.readResp()[0] == "3");
+    settle(port);
+    assert(pulled.count() == 2);
+}
+
+void aClientThatLeavesWithAnswersUnreadIsNoticed() {
+    Fleet fleet;
+    LateStore late;
+    Bus bus;
+    Peer cache(store(serving(std::string(240'000, 'x'))));
+    json lateHost = host("cache-2", late.peer.address()), wide = host("cache-1", cache.address());
+    wide["weight"] = 1000;  // nearly all objects are its own
+    json settings = configuration(fleet.with({lateHost}));
+    settings["settings"]["weights"] = "nominal";
+    settings["bus"] = bus.address();
+    Program program(settings);
+    const std::uint16_t port = program.port();
+    Connection leaves(port, 4096), stays(port);
+    call(leaves, "1");  // waits for its connection
+    leaves.sendResp({"CHECK", "2", ""});
+    assert(leaves.readResp()[0] == "2");
+    bus.tell(topology({wide}));
+    for (int i = 3; i < 30; ++i) call(leaves, std::to_string(i));
+    program.awaitCounters(" served=27 ");  // 6 MB, of which it reads nothing
+    leaves.shutSending();
+    program.awaitCounters(" gone=1 ");
+    late.start();
+    bus.tell(topology({host("cache-1", cache.address(), "small", "draining")}));
+    call(stays, "1");
+    assert(stays.readResp()[3] == "late store");
+    assert(late.pulls.count() == 1);
+}
+
+void whereCancelsAreBarredNothingIsSentForAClientThatLeft() {
+    Fleet fleet;
+    LateStore late;
+    json settings = configuration(fleet.with({host("cache-1", late.peer.address())}));
+    settings["settings"]["allowed"]["mayCancel"] = false;
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1");
+    client.sendResp({"CANCEL", "1"});
+    client.sendResp({"CHECK", "2", ""});
+    assert(client.readResp()[0] == "2");
+    late.start();
+    call(client, "3");
+    assert(client.readResp()[0] == "3");
+    assert(late.pulls.count() == 1);
+}
+
+// ----- connections to stores -----
+
+// The store's close and the next call are both there when the gateway looks.
+void anIdleConnectionThatWasJustClosedIsNotUsed() {
+    Fleet fleet;
+    Mark close, closed;
+    std::atomic<int> connections{0};
+    Peer cache([&](Connection& c) {
+        const int here = ++connections;
+        const auto words = c.readResp();
+        if (words.empty()) return;
+        serving("here")(c, words);
+        close.await(here);
+        c.shut();
+        closed.raise();
+    });
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    const std::uint16_t port = program.port();
+    for (int i = 1; i <= 10; ++i) {
+        Connection client(port);
+        client.sendResp({"CHECK", "1", ""});
+        assert(client.readResp()[1] == "PASS");
+        if (i > 1) {
+            program.stop();
+            close.raise();
+            closed.await(i - 1);
+        }
+        call(client, "2", kKey, "checkout");
+        if (i > 1) program.goOn();
+        assert((client.readResp() == std::vector<std::string>{"2", "SERVED", "-", "here"}));
+    }
+    close.raise();
+}
+
+// Behind the request itself the word to give it up would come too late: another store may have it by then.
+void aStoreThatTakesNoBytesIsLeftNotTold() {
+    Fleet fleet;
+    Mark read, ended;
+    std::atomic<int> connections{0}, kills{0};
+    Peer cache(nullptr);
+    const int room = 64 * 1024;
+    ::setsockopt(cache.descriptor(), SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+    cache.start([&](Connection& c) {
+        if (++connections > 1) return;
+        read.await(1);
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();)
+            if (words[0] == "KILL") ++kills;
+        ended.raise();
+    });
+    Program program(withRoomFor(host("cache-1", cache.address()), fleet));
+    std::vector<std::unique_ptr<Connection>> clients;
+    for (int i = 0; i < 3; ++i) {  // 4.6 MB, on one connection
+        clients.push_back(std::make_unique<Connection>(program.port()));
+        for (int k = 1; k <= 32; ++k)
+            call(*clients.back(), std::to_string(k), "", "page", std::string(48'000, 'x'));
+    }
+    program.awaitCounters("requests taken=96 ");
+    clients.clear();
+    program.awaitCounters(" open=0\n");
+    read.raise();
+    ended.await(1);
+    assert(kills == 0);
+}
+
+void aLateListEndsNoConnectionOfTheNewProcess() {
+    for (const bool older : {false, true}) {
+        Fleet fleet;
+        Mark pulled, go;
+        Bus bus;
+        Peer cache(store(servingWhenTold(pulled, go, "the new process")));
+        json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+        settings["settings"]["allowed"]["mostTries"] = 1;
+        settings["bus"] = bus.address();
+        Program program(settings);
+        Connection client(program.port());
+        call(client, "1", kKey, "checkout");
+        pulled.await(1);
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             std::chrono::system_clock::now().time_since_epoch())
+                             .count();
+        json restarted = host("cache-1", cache.address());
+        restarted["since_ms"] = now + (older ? 1 : -60'000);  // the connection is older, or younger
+        bus.tell(topology({restarted}));
+        if (!older) go.raise();
+        assert((client.readResp()[1] == "SERVED") == !older);
+        if (older) go.raise();
+    }
+}
+
+// ----- what must not run twice -----
+
+void aRepeatThatHasWaitedTooLongIsNotSent() {
+    Fleet fleet;
+    LateStore late;
+    Mark pulled, go;
+    Bus bus;
+    Peer cache([&](Connection& c) {
+        c.readResp();
+        pulled.raise();
+        go.await(1);
+        c.reset();
+        c.shut();
+    });
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    category(settings, 2)["window"] = 700'000'000;
+    settings["bus"] = bus.address();
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1", kKey, "checkout");
+    pulled.await(1);
+    const auto sent = Clock::now();
+    bus.tell(topology({host("cache-2", late.peer.address())}));
+    go.raise();
+    program.awaitCounters("attempts sent=2 ");  // within the window, but its connection is not up
+    std::this_thread::sleep_until(sent + 750ms);
+    late.start();
+    assert(client.readResp()[1] != "SERVED");
+    settle(program.port());
+    assert(late.pulls.count() == 0);
+}
+
+void aSpoiltAnswerToAWriteIsNotTakenForAMiss() {
+    Fleet fleet;
+    Mark pulled;
+    Bus bus;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        serving("done, says an old date")(c, words);
+    }));
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    category(settings, 2)["effect"] = "single_shot";
+    settings["bus"] = bus.address();
+    Program program(settings);
+    Connection client(program.port());
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    bus.tell({{"ban", {{"tag", 3}, {"ts", now.count()}}}});
+    call(client, "1", "", "checkout");
+    assert(client.readResp()[1] == "ERR");  // never 'refused', which says that it may be sent again
+    settle(program.port());
+    assert(pulled.count() == 1);
+}
+
+// ----- times that the settings tell -----
+
+void anAnswerWithoutEndHoldsNothingUpForLongerThanRequestsLast() {
+    Fleet fleet;
+    std::atomic<int> pulls{0};
+    std::atomic<bool> over{false};
+    const auto script = [&](Connection& c) {
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+            if (words[0] != "PULL") continue;
+            if (++pulls > 1) {
+                serving("whole")(c, words);
+                continue;
+            }
+            c.send("*4\r\n$16\r\n" + words[1] + "\r\n$2\r\nok\r\n$1\r\n-\r\n$20000\r\n");
+            for (int i = 0; i < 100 && !over; ++i, std::this_thread::sleep_for(50ms)) c.send("x");
+        }
+    };
+    Peer first(script), second(script);
+    json settings =
+        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())}));
+    limitAll(settings, 1600);
+    Program program(settings);
+    Connection client(program.port());
+    const auto begin = Clock::now();
+    call(client, "1", kKey, "checkout");
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "whole"}));
+    assert(Clock::now() - begin < 2s);
+    over = true;
+}
+
+void aDeadWatchIsGivenUpWithinTheTimeForADrain() {
+    Fleet fleet;
+    Mark asked, again;
+    Clock::time_point silentSince{}, askedAgain{};
+    Peer bus([&](Connection& c) {
+        for (std::string head; !(head = c.readHead()).empty();) {
+            asked.raise();
+            if (asked.count() == 2) {  // the first that is meant to wait: nothing comes, and no end
+                silentSince = Clock::now();
+                continue;
+            }
+            if (asked.count() == 3) {
+                askedAgain = Clock::now();
+                again.raise();
+            }
+            const std::string body = R"({"offset":1,"batch":[]})";
+            c.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            if (asked.count() > 2) std::this_thread::sleep_for(100ms);
+        }
+    });
+    json settings = configuration(fleet.with({}));
+    settings["settings"]["obligations"]["stopSendingWithin"] = 400'000'000;
+    settings["bus"] = bus.address();
+    Program program(settings);
+    again.await(1);
+    assert(askedAgain - silentSince < 1s);  // 0.35 s, and a slow machine
+}
+
+void aRefusalAtTheDoorKeepsToTheSettingsOnHints() {
+    for (const bool hints : {true, false}) {
+        Fleet fleet;
+        Peer cache(store([](Connection&, const std::vector<std::string>&) {}));
+        json settings = withRoomFor(host("cache-1", cache.address()), fleet);
+        settings["settings"]["allowed"]["retryAfter"] = hints;
+        settings["settings"]["allowed"]["maxRetryAfter"] = 50'000'000;
+        Program program(settings);
+        Connection client(program.port());
+        for (int i = 1; i <= 33; ++i) call(client, std::to_string(i));  // one beyond the bound
+        const auto answer = client.readResp();
+        assert(answer[0] == "33" && answer[1] == "SHED");
+        assert(valueOf(answer[2], "pause") == (hints ? "50" : ""));
+    }
+}
+
+// The largest tenth of a class against the class: quiet, and while a crowd that does not read holds memory.
+void theLargestAreAnsweredLikeTheRest() {
+    for (const bool quiet : {true, false}) {
+        Fleet fleet;
+        Peer cache(store([](Connection& c, const std::vector<std::string>& words) {
+            const bool large = valueOf(words[2], "thing").back() == '0';
+            serving(std::string(large ? 240'000 : 12'000, 'x'))(c, words);
+        }));
+        json settings = withRoomFor(host("cache-1", cache.address()), fleet);
+        settings["limits"]["memory_mb"] = 24;
+        Program program(settings);
+        const std::uint16_t port = program.port();
+        std::vector<std::unique_ptr<Connection>> crowd;
+        for (int i = 0; i < (quiet ? 0 : 20); ++i) {
+            crowd.push_back(std::make_unique<Connection>(port, 4096));
+            for (int k = 1; k <= 32; ++k) callFor(*crowd.back(), k, "7f3a9c21e0b4d650");
+        }
+        settle(port);
+        program.awaitCounters(" open=0\n");
+        int all = 0, served = 0, large = 0, largeServed = 0;
+        Connection client(port);
+        for (int i = 1; i <= 300; ++i) {
+            char entity[17];
+            std::snprintf(entity, sizeof entity, "%015x%d", i, i % 10);
+            callFor(client, i, entity);
+            const bool came = client.readResp()[1] == "SERVED";
+            ++all;
+            served += came;
+            large += i % 10 == 0;
+            largeServed += came && i % 10 == 0;
+        }
+        assert(served * 2 > all);
+        const double share = double(largeServed) / large, ofClass = double(served) / all;
+        assert(share >= ofClass * (quiet ? 2.0 / 3 : 0.5));
+    }
+}
+
+struct Story {
+    const char* name;
+    void (*play)();
+};
+constexpr Story kStories[] = {
+    {"sigkill", whatIsOpenIsAnsweredBeforeSigkillMayCome},
+    {"door", whoWaitsAtTheDoorIsServedBeforeTheEnd},
+    {"early-signal", aSignalBeforeThereIsAGatewayWaits},
+    {"taken-back", whatWasTakenBackBeforeItWasReadIsNotSentOn},
+    {"unread-answers", aClientThatLeavesWithAnswersUnreadIsNoticed},
+    {"no-cancel", whereCancelsAreBarredNothingIsSentForAClientThatLeft},
+    {"just-closed", anIdleConnectionThatWasJustClosedIsNotUsed},
+    {"no-bytes", aStoreThatTakesNoBytesIsLeftNotTold},
+    {"late-list", aLateListEndsNoConnectionOfTheNewProcess},
+    {"late-repeat", aRepeatThatHasWaitedTooLongIsNotSent},
+    {"spoilt-write", aSpoiltAnswerToAWriteIsNotTakenForAMiss},
+    {"endless-answer", anAnswerWithoutEndHoldsNothingUpForLongerThanRequestsLast},
+    {"dead-watch", aDeadWatchIsGivenUpWithinTheTimeForADrain},
+    {"largest", theLargestAreAnsweredLikeTheRest},
+    {"hints", aRefusalAtTheDoorKeepsToTheSettingsOnHints},
+};
+
+}  // namespace
+
+// With names: those alone.
+int main(int count, char** words) {
+    for (const Story& story : kStories) {
+        bool wanted = count < 2;
+        for (int i = 1; i < count; ++i) wanted = wanted || std::strcmp(words[i], story.name) == 0;
+        if (wanted) story.play();
+    }
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -28,13 +28,54 @@
         stream = std::make_unique<Stream>(loop, std::move(fd), *this);
     }
     bool streamData(std::string_view) override { return true; }
+    void streamDrained() override { ++drained; }
     void streamEnded(Stream::End) override { ended = true; }
 
     Descriptor peer;
     std::unique_ptr<Stream> stream;
     bool ended = false;
+    int drained = 0;
 };
 
+// A full buffer: what finds no room is not begun, and nothing of it goes out later.
+TEST(Stream, WhatFindsNoRoomIsNotBegun) {
+    Loop loop;
+    Pair pair(loop);
+    const std::string piece(512, 'x');
+    std::size_t begun = 0;
+    while (pair.stream->writeIfRoom(piece)) begun += piece.size();
+    ASSERT_GT(begun, 0u);
+    EXPECT_FALSE(pair.stream->writeIfRoom("late"));
+    loop.turn(loop.now());
+    pair.drained = 0;  // the edge of a new connection
+    std::string got(begun, 0);
+    EXPECT_EQ(::recv(pair.peer.get(), got.data(), got.size(), MSG_WAITALL), static_cast<ssize_t>(begun));
+    while (pair.drained == 0 && !pair.ended) loop.turn(loop.now() + 1s);
+    EXPECT_EQ(pair.stream->unsent(), 0u);
+    EXPECT_EQ(::recv(pair.peer.get(), got.data(), 1, MSG_DONTWAIT), -1);
+    EXPECT_TRUE(pair.stream->writeIfRoom("again"));
+    EXPECT_EQ(::recv(pair.peer.get(), got.data(), 5, MSG_WAITALL), 5);
+}
+
+TEST(Stream, AnEndThatIsNotHandledYetIsSeen) {
+    Loop loop;
+    Pair pair(loop);
+    EXPECT_FALSE(pair.stream->peerEnded());
+    pair.peer.reset();
+    EXPECT_TRUE(pair.stream->peerEnded());
+}
+
+// Its end makes no edge of its own once reading goes on, and what came before it stays unread.
+TEST(Stream, AnEndIsToldWhileReadingIsPaused) {
+    Loop loop;
+    Pair pair(loop);
+    pair.stream->pauseReading(true);
+    ASSERT_EQ(::send(pair.peer.get(), "unread", 6, 0), 6);
+    pair.peer.reset();
+    for (int i = 0; i < 10 && !pair.ended; ++i) loop.turn(loop.now() + 10ms);
+    EXPECT_TRUE(pair.ended);
+}
+
 TEST(Stream, AGentleCloseWaitsForItsPeerWithoutTurns) {
     Loop loop;
     Pair pair(loop);
