Leave a repository server's connection whose close is there, and show its end before SIGKILL

upstreams.cpp:72 took a connection for ready whose close had come and was not handled yet: with one try allowed the client got 502.

--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -64,7 +64,8 @@
     ~Link() override { stopTimer(); }
 
     bool connecting() const { return !ended_ && !stream_.opened(); }
-    bool ready() const { return !ended_ && stream_.opened() && !work_; }
+    // One whose close has come and is not handled yet would lose what is written now.
+    bool ready() const { return !ended_ && stream_.opened() && !work_ && !stream_.peerEnded(); }
     bool has(RequestId request) const { return work_ && work_->send.request == request; }
 
     void take(const Waiting& work) {
--- a/tests/repository_test.cpp
+++ b/tests/repository_test.cpp
@@ -52,6 +52,65 @@
     assert(read(fat).status == 431 && fat.closed());
 }
 
+// The server's close and the next request are both there when the gateway looks.
+void anIdleConnectionThatWasJustClosedIsNotUsed() {
+    Mark close, closed;
+    std::atomic<int> connections{0};
+    Peer server([&](Connection& c) {
+        const int here = ++connections;
+        if (c.readHead().empty()) return;
+        c.send("HTTP/1.1 200 OK\r\nETag: \"a\"\r\nContent-Length: 4\r\n\r\nhere");
+        close.await(here);
+        c.shut();
+        closed.raise();
+    });
+    json settings =
+        repository({host("cache-1", server.address()), host("parent-1", server.address(), "parent"),
+                    host("origin-1", server.address(), "origin")});
+    settings["settings"]["allowed"]["mostTries"] = 1;
+    Program program(settings, "LB_REPOSITORY");
+    const std::uint16_t port = program.port();
+    for (int i = 1; i <= 10; ++i) {
+        Connection client(port);
+        assert(get(client, "/elsewhere").status == 404);
+        if (i > 1) {
+            program.stop();
+            close.raise();
+            closed.await(i - 1);
+        }
+        ask(client, "/index/plugins.json");
+        if (i > 1) program.goOn();
+        const Got got = read(client);
+        assert(got.status == 200 && got.body == "here");
+    }
+    close.raise();
+}
+
+// What is open when the process must end is broken off or refused, and the client can tell.
+void whatIsOpenIsEndedBeforeSigkillMayCome() {
+    Mark asked, go;
+    Repository server(4'000'000, [&](const std::string& path, const std::string& head) {
+        if (path == "/files/tool.bin" && head.find("bytes=0-") != std::string::npos) return;
+        asked.raise();
+        go.await(1);
+    });
+    json settings = repository(server, server);
+    settings["settings"]["allowed"]["mostTries"] = 1;
+    Program program(settings, "LB_REPOSITORY");
+    Connection index(program.port()), file(program.port());
+    ask(index, "/index/plugins.json");
+    ask(file, "/files/tool.bin");
+    asked.await(2);
+    const auto begin = std::chrono::steady_clock::now();
+    program.signal(SIGTERM);
+    const Got refused = read(index), cut = read(file);
+    assert(refused.status == 503 || refused.status == 504);
+    assert(cut.status == 200 && !cut.whole);
+    assert(program.exitCode() == 0);
+    assert(std::chrono::steady_clock::now() - begin < 3700ms);  // the longest deadline, 9 s, counts as 3
+    go.raise();
+}
+
 // No index older than a purge once it was told, also while a large file is in transfer.
 void aPurgeMidFetchLeavesNoOldIndex() {
     Mark fetching, inTransfer, purged;
@@ -167,6 +226,8 @@
 }  // namespace
 
 int main() {
+    anIdleConnectionThatWasJustClosedIsNotUsed();
+    whatIsOpenIsEndedBeforeSigkillMayCome();
     badClientsEndSoonAndKeepNobodyOut();
     indexesAndFilesAreServedAsTheSpecificationsSay();
     aPurgeMidFetchLeavesNoOldIndex();
