End a store's connection that brings answers to nothing without end

stores.cpp:262 let whole answers under labels that nobody asked for pass for ever; as long as they came, the connection looked alive and a keyed request open there waited out its time. Now 1,000 in a row end it: more than all that was given up on a connection (its streams, and their second copies) can bring. The story fails without it.

--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -22,9 +22,11 @@
 constexpr Micros kEchoWait = 200ms;  // an ECHO is answered beside the queue, if the connection still carries
 // Past the limit of silence: those out are given up, if others that were sent later were answered.
 constexpr Micros kStuck = 500ms;
-constexpr Micros kStalled = 300ms;         // within an answer: answers come whole, or not at all
-constexpr Micros kLongAnswer = 3s;         // at most, from an answer's first byte to its last
-constexpr std::size_t kMostLinks = 6;      // to one store
+constexpr Micros kStalled = 300ms;     // within an answer: answers come whole, or not at all
+constexpr Micros kLongAnswer = 3s;     // at most, from an answer's first byte to its last
+constexpr std::size_t kMostLinks = 6;  // to one store
+constexpr int kMostStrays =
+    1000;  // answers in a row to nothing that is out; all that was given up brings fewer
 constexpr std::size_t kLastAnswered = 64;  // whose second copies a connection knows
 constexpr std::size_t kLargestAnswer = 240'000;
 constexpr int kMostMoves = 2;
@@ -272,8 +274,9 @@
             if (words[1] == "yes" || words[1] == "no") return true;
             given_.erase(words[0]);
             ++owner_.counters_.lateAnswers;
-            return true;
+            return ++strays_ <= kMostStrays;
         }
+        strays_ = 0;
         if (!outcome) return false;
         const Fields fields(words.size() > 2 ? std::string_view(words[2]) : std::string_view{});
         if (*outcome == Outcome::served && !whole(words, fields, found->second)) return false;
@@ -400,6 +403,7 @@
     std::unordered_map<std::string, Micros> given_;  // given up, and when; their answers may still come
     std::vector<std::uint64_t> answered_;            // fingerprints of the last ones
     std::size_t nextAnswered_ = 0;
+    int strays_ = 0;
     net::Loop::TimerKey timer_{};
     std::optional<net::Loop::TimerKey> stallTimer_, silenceTimer_;
     std::optional<Micros> half_;  // when the first byte of the answer in hand came
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -377,6 +377,28 @@
     over = true;
 }
 
+// Whole answers to nothing that was asked: as long as they come, the connection looks alive.
+void answersToNothingEndTheirConnection() {
+    Fleet fleet;
+    std::atomic<int> pulls{0};
+    const auto script = [&](Connection& c) {
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+            if (words[0] != "PULL") continue;
+            if (++pulls > 1) {
+                serving("whole")(c, words);
+                continue;
+            }
+            for (int i = 0; i < 1500; ++i) c.sendResp({"00000000000fffff", "ok", "minted=1", "stray"});
+        }
+    };
+    Peer first(script), second(script);
+    Program program(
+        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())})));
+    Connection client(program.port());
+    call(client, "1", kKey, "checkout");
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "whole"}));
+}
+
 void aDeadWatchIsGivenUpWithinTheTimeForADrain() {
     Fleet fleet;
     Mark asked, again;
@@ -475,6 +497,7 @@
     {"late-repeat", aRepeatThatHasWaitedTooLongIsNotSent},
     {"spoilt-write", aSpoiltAnswerToAWriteIsNotTakenForAMiss},
     {"endless-answer", anAnswerWithoutEndHoldsNothingUpForLongerThanRequestsLast},
+    {"strays", answersToNothingEndTheirConnection},
     {"dead-watch", aDeadWatchIsGivenUpWithinTheTimeForADrain},
     {"largest", theLargestAreAnsweredLikeTheRest},
     {"hints", aRefusalAtTheDoorKeepsToTheSettingsOnHints},
