--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -79,10 +79,18 @@
                   {"no_copy", of(Outcome::noCopy)}});
 }
 
-// Beyond the monotonic clock: the Unix clock stands on the wire only, and by this one offset.
-inline Micros unixAhead(Micros now) {
-    const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Micros>(unixNow) - now;
+// Beyond the monotonic clock: the Unix clock stands on the wire only, and by this one offset. Between two
+// looks at the clocks the process may be held up, by its own start or by others: the least difference is the
+// nearest.
+inline Micros unixAhead() {
+    Micros least = Micros::max();
+    for (int i = 0; i < 8; ++i) {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
+        least = std::min(
+            least, std::chrono::duration_cast<Micros>(unixNow) - std::chrono::duration_cast<Micros>(now));
+    }
+    return least;
 }
 
 inline Micros longestGiveUp(const Settings& settings) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -45,6 +45,8 @@
     TimerKey after(Micros delay, std::function<void()> task);
     void cancel(TimerKey key) { timers_.erase(key); }
     void post(std::function<void()> task) { posted_.push_back(std::move(task)); }
+    // At the end of the turn, when all that came with it has been heard: who has left, what is drained.
+    void whenAllIsHeard(std::function<void()> task) { after(Micros{0}, std::move(task)); }
     // Destroys it once nothing on the stack can be using it any more.
     void retire(std::shared_ptr<void> object) { retired_.push_back(std::move(object)); }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -53,7 +54,7 @@
     id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this, priority);
 }
 
-Stream::Stream(Loop& loop, const settings::Endpoint& to, User& user)
+Stream::Stream(Loop& loop, const settings::Endpoint& to, User& user, Priority priority)
     : loop_(loop),
       fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       user_(user),
@@ -71,7 +72,7 @@
         timer_ = loop_.after(Micros{0}, [this] { end(End::refused); });
         return;
     }
-    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this);
+    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this, priority);
 }
 
 Stream::~Stream() { close(); }
@@ -127,7 +128,10 @@
 bool Stream::peerEnded() const {
     char byte = 0;
     const ssize_t got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    // Its end may stand behind what is still to be read.
+    pollfd look{fd_.get(), POLLRDHUP, 0};
+    return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 std::size_t Stream::untaken() const {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -24,7 +24,8 @@
     };
 
     Stream(Loop& loop, Descriptor fd, User& user, Priority priority = Priority::usual);  // accepted
-    Stream(Loop& loop, const settings::Endpoint& to, User& user);  // connects; may end in the next turn
+    // Connects; may end in the next turn.
+    Stream(Loop& loop, const settings::Endpoint& to, User& user, Priority priority = Priority::usual);
     ~Stream() override;
     Stream(const Stream&) = delete;
     Stream& operator=(const Stream&) = delete;
@@ -43,8 +44,9 @@
     // has sent too much: a close over unread bytes would be a reset, which takes back from the peer what it
     // has not yet read.
     void closeGently(Micros within);
-    bool quiet() const;      // nothing has come in that was not read
-    bool peerEnded() const;  // its end has come, with nothing before it unread
+    bool quiet() const;                             // nothing has come in that was not read
+    bool peerEnded() const;                         // its end has come, read or not
+    void readSoon() { loop_.again(id_, EPOLLIN); }  // in the next turn; its end, if it has come
     // Once the peer has left, what it sent before that is not read any more.
     void dropWithPeer() { dropWithPeer_ = true; }
     bool allTaken() const { return untaken() == 0; }  // the peer's machine has all that was written
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <string>
+#include <utility>
 
 namespace lotuslead::platform {
 
@@ -83,8 +84,11 @@
 void BusReader::connect() {
     parser_ = net::HttpParser(net::HttpParser::Kind::response, kLimits);
     begunAt_.reset();
+    asked_ = false;
     if (stream_) loop_.retire(stream_);
-    stream_ = std::make_shared<net::Stream>(loop_, bus(), static_cast<net::Stream::User&>(*this));
+    // First in a turn: a call that has come with a drain is picked when the drain is known.
+    stream_ = std::make_shared<net::Stream>(loop_, bus(), static_cast<net::Stream::User&>(*this),
+                                            net::Priority::first);
     arm(kConnect, [this] { reconnect("no connection in time"); });
 }
 
@@ -105,6 +109,7 @@
 
 void BusReader::ask() {
     ++counters_.polls;
+    asked_ = true;
     const net::Micros hold = heard_ ? hold_ : kFirstHold;
     stream_->write("GET /bus/read?from=" + std::to_string(offset_) +
                    "&hold=" + std::to_string(hold.count() / 1000) + " HTTP/1.1\r\nHost: " + bus().host + ":" +
@@ -125,7 +130,10 @@
         const auto status = parser_.feed(data);
         if (status == net::HttpParser::Status::needMore) break;
         begunAt_.reset();
-        if (status != net::HttpParser::Status::message || !takeAnswer()) return false;
+        // Each answer leads to the next poll: answers to nothing would do so without end.
+        const bool due = std::exchange(asked_, false) && stream_->unsent() == 0;
+        if (status != net::HttpParser::Status::message || !due || !takeAnswer() || !data.empty())
+            return false;
     }
     if (!parser_.midMessage()) return true;
     // An answer may come byte by byte; one that stops within is asked for again, from the last event had.
--- a/src/platform/bus.hpp
+++ b/src/platform/bus.hpp
@@ -74,6 +74,7 @@
     net::Micros hold_, silent_;
     int failures_ = 0;  // in a row
     bool heard_ = false;
+    bool asked_ = false;                  // and not answered yet
     std::optional<net::Micros> begunAt_;  // of the answer in hand
 };
 
--- /dev/null
+++ b/src/platform/call_form.hpp
@@ -0,0 +1,47 @@
+// What a CALL must look like before the decisions or a store see it.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../core/requests.hpp"
+#include "fields.hpp"
+
+namespace lotuslead::platform {
+
+inline constexpr std::size_t kLargestBody = 48'000;
+inline constexpr std::int64_t kLongestPatienceMs = 600'000;
+inline constexpr std::int64_t kLastBlock = 1'000'000;
+inline constexpr std::int64_t kLastFamily = 255;
+
+inline std::size_t bytesOf(const std::vector<std::string>& words) {
+    std::size_t bytes = 0;
+    for (const std::string& word : words) bytes += word.size();
+    return bytes;
+}
+
+inline bool isTag(std::string_view text) {
+    return !text.empty() && text.size() <= 19 && text.front() != '0' &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+// What the stores are given is checked here, as far as a form can be checked: a store closes the connection
+// on what it can't read, whatever else is open there.
+inline bool usable(const Fields& fields, const core::Request& request) {
+    const auto within = [&](std::string_view name, std::int64_t least, std::int64_t most) {
+        const auto value = fields.whole(name);
+        return fields.text(name).empty() || (value && *value >= least && *value <= most);
+    };
+    const auto hex = [](const std::string& text, std::size_t size) {
+        return text.empty() || isHex(text, size);
+    };
+    return isHex(request.label, 16) && isHex(request.object, 16) && hex(request.known, 16) &&
+           hex(request.key, 32) && within("patience", 1, kLongestPatienceMs) &&
+           within("block", 0, kLastBlock) && within("family", 0, kLastFamily) && within("redo", 1, 1) &&
+           request.body.size() <= kLargestBody;
+}
+
+}  // namespace lotuslead::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <deque>
 #include <optional>
 #include <utility>
 
-#include "fields.hpp"
+#include "call_form.hpp"
 
 namespace lotuslead::platform {
 
@@ -17,7 +18,6 @@
 namespace {
 
 constexpr std::size_t kLargestAnswer = 240'000;
-constexpr std::size_t kLargestBody = 48'000;
 constexpr std::size_t kProcessBytes = 8 * 1024 * 1024;   // of a process at rest, with all that it knows
 constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
 constexpr std::size_t kClientsShare = 16;                // of them may be so far behind
@@ -41,38 +41,16 @@
 constexpr Micros kDrainEnds = 2300ms;
 constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
 constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
-constexpr std::size_t kMessagesATurn = 16;    // of one client; then the others have their turn
-constexpr int kMostStrikes = 12;              // useless messages in a row that a connection may bring
-constexpr std::int64_t kLongestPatienceMs = 600'000;
-constexpr std::int64_t kLastBlock = 1'000'000;
-constexpr std::int64_t kLastFamily = 255;
-
-bool isTag(std::string_view text) {
-    return !text.empty() && text.size() <= 19 && text.front() != '0' &&
-           std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
-}
+constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
+constexpr std::size_t kMostHeld = 64;         // messages of one that were read and not taken yet
+constexpr std::size_t kHeldBytes = 64 * 1024;
+constexpr int kMostStrikes = 12;  // useless messages in a row that a connection may bring
 
 std::string pauseFields(Micros pause) {
     const auto ms = pause.count() / 1000;
     return ms > 0 ? "pause=" + std::to_string(ms) : "-";
 }
 
-// What the stores are given is checked here, as far as a form can be checked: a store closes the connection
-// on what it can't read, whatever else is open there.
-bool usable(const Fields& fields, const core::Request& request) {
-    const auto within = [&](std::string_view name, std::int64_t least, std::int64_t most) {
-        const auto value = fields.whole(name);
-        return fields.text(name).empty() || (value && *value >= least && *value <= most);
-    };
-    const auto hex = [](const std::string& text, std::size_t size) {
-        return text.empty() || isHex(text, size);
-    };
-    return isHex(request.label, 16) && isHex(request.object, 16) && hex(request.known, 16) &&
-           hex(request.key, 32) && within("patience", 1, kLongestPatienceMs) &&
-           within("block", 0, kLastBlock) && within("family", 0, kLastFamily) && within("redo", 1, 1) &&
-           request.body.size() <= kLargestBody;
-}
-
 }  // namespace
 
 class Front::Client : public net::Stream::User {
@@ -89,10 +67,10 @@
     }
     ~Client() override { abandon(); }
 
-    bool idle() const { return open_.empty() && ahead_.empty() && stream_.unsent() == 0; }
+    bool idle() const { return open_.empty() && !unheard() && stream_.unsent() == 0; }
     // Idle, has been used, and nothing of a further call has come, read or unread.
     bool resting() const { return idle() && used_ && !retired_ && !parser_.midMessage() && stream_.quiet(); }
-    bool silent() const { return !used_ && ahead_.empty() && stream_.quiet(); }
+    bool silent() const { return !used_ && !unheard() && stream_.quiet(); }
     bool half() const { return parser_.midMessage(); }
     bool fresh() const { return !used_; }
     bool young() const { return owner_.loop_.now() - lastUsed_ < (half() ? kStalledYoung : kSilentYoung); }
@@ -116,7 +94,7 @@
         if (ending_ || !stream_.allTaken()) return;
         const Micros now = owner_.loop_.now();
         if (last && since && lastCall_ >= *since) failOpen();
-        if (ending_ || !open_.empty() || !ahead_.empty() || !stream_.quiet()) return;
+        if (ending_ || !open_.empty() || unheard() || !stream_.quiet()) return;
         if (parser_.midMessage() && !last) return;
         if (!used_ && now - connectedAt_ < kSilentDrained) return;
         ++owner_.counters_.drained;
@@ -135,7 +113,7 @@
             owner_.labels_.erase(call.label);
             owner_.requests_.withdraw(owner_.loop_.now(), call.id);
         }
-        ahead_.clear();
+        dropUnheard();
         count(0);
     }
 
@@ -157,54 +135,71 @@
     }
 
     // A share of the turn for each client: a burst of one waits in its own connection, not in the others'
-    // way.
+    // way. So does what one sends that does not read its answers.
     void takeMessages() {
         if (stream_.closed() || ending_) return;
         std::string_view rest = ahead_;
         using Status = net::RespParser::Status;
-        auto status = Status::needMore;
-        std::vector<std::vector<std::string>> messages;
-        while (messages.size() < kMessagesATurn && status != Status::malformed && !rest.empty()) {
-            status = parser_.feed(rest);
-            if (status == Status::message) messages.push_back(parser_.take());
+        while (!malformed_ && held_.size() < kMostHeld && heldBytes_ < kHeldBytes && !rest.empty()) {
+            const auto status = parser_.feed(rest);
+            malformed_ = status == Status::malformed;
+            if (status != Status::message) continue;
+            held_.push_back(parser_.take());
+            heldBytes_ += bytesOf(held_.back());
         }
-        takeBackAhead(messages);
+        ahead_.erase(0, ahead_.size() - rest.size());
+        takeBackHeld();
         bool fits = true;
-        for (auto message = messages.begin(); message != messages.end() && fits && !ending_; ++message)
-            fits = message->empty() || take(std::move(*message));
-        fits = fits && status != Status::malformed;
+        for (int i = 0; i < kMessagesATurn && fits && !held_.empty() && !ending_ && !behind(); ++i)
+            fits = take(fromHeld(0));
         if (stream_.closed() || ending_) return;
-        if (!fits) return spoilt();
-        ahead_.erase(0, ahead_.size() - rest.size());
-        if (!ahead_.empty() && !resume_)
-            resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
-                resume_.reset();
-                takeMessages();
-            });
+        if (!fits || (malformed_ && held_.empty())) return spoilt();
         endIfAnswered();
         watchMessage();
         settle();
     }
 
-    // A call that its client has taken back already is not sent on first: both may have waited for long.
-    void takeBackAhead(std::vector<std::vector<std::string>>& messages) {
-        for (auto call = messages.begin(); call != messages.end(); ++call) {
-            const auto& words = *call;
-            if (words.size() < 3 || words[0] != "CALL" || !isTag(words[1]) || open_.count(words[1]) > 0)
-                continue;
-            const auto back = std::find_if(call + 1, messages.end(), [&](const auto& later) {
-                return later.size() >= 2 && later[0] == "CANCEL" && later[1] == words[1];
-            });
-            if (back == messages.end()) continue;
-            call->clear();
-            strike();
+    // CANCEL overtakes what is held: a call that its client has taken back is not sent on first, and an open
+    // one is given up though the client does not read its answers.
+    void takeBackHeld() {
+        for (std::size_t at = 0; at < held_.size(); ++at) {
+            if (held_[at].size() < 2 || held_[at][0] != "CANCEL" || !isTag(held_[at][1])) continue;
+            const std::string tag = held_[at][1];
+            std::size_t call = 0;
+            while (call < at &&
+                   !(held_[call].size() > 2 && held_[call][0] == "CALL" && held_[call][1] == tag))
+                ++call;
+            const bool open = open_.count(tag) > 0, held = call < at;
+            if (open == held) continue;  // in its turn
+            fromHeld(at--);
+            if (open) {
+                takeBack(tag);
+            } else {
+                fromHeld(call);
+                --at;
+                strike();
+            }
         }
     }
+    std::vector<std::string> fromHeld(std::size_t at) {
+        std::vector<std::string> words = std::move(held_[at]);
+        held_.erase(held_.begin() + static_cast<std::ptrdiff_t>(at));
+        heldBytes_ -= bytesOf(words);
+        return words;
+    }
+    bool unheard() const { return !ahead_.empty() || !held_.empty(); }
+    void dropUnheard() {
+        ahead_.clear();
+        held_.clear();
+        heldBytes_ = 0;
+    }
+    bool behind() const { return stream_.unsent() > owner_.clientBacklog() && !owner_.lastCall_; }
     // What comes next can't be told apart any more. What was taken has its answer, and the client the time to
     // read it.
     void spoilt() {
         ++owner_.counters_.malformed;
         retired_ = true;
+        dropUnheard();
         failOpen();
         endIfAnswered();
     }
@@ -224,9 +219,8 @@
         }
     }
     void endIfAnswered() {
-        if (!retired_ || !open_.empty() || std::exchange(ending_, true)) return;
+        if (!retired_ || !open_.empty() || unheard() || std::exchange(ending_, true)) return;
         stopWatch();
-        ahead_.clear();
         stream_.closeGently(kGentle);
     }
     // Useless messages in a row: nothing is gained by reading on.
@@ -254,11 +248,11 @@
         watch_ = owner_.loop_.after(delay, [this] {
             watch_.reset();
             if (retired_) {
+                dropUnheard();
                 failOpen();
                 return endIfAnswered();
             }
-            if (!ahead_.empty() || stream_.unsent() > owner_.clientBacklog())
-                return watch(kHalfMessage);  // it waits for us
+            if (unheard() || behind()) return watch(kHalfMessage);  // it waits for us
             ++(used_ ? owner_.counters_.halfMessages : owner_.counters_.silent);
             retired_ = true;
             failOpen();
@@ -279,12 +273,7 @@
         lastUsed_ = owner_.loop_.now();
         if (words[0] == "CALL") return call(words);
         if (words[0] == "CANCEL") {
-            const auto found = open_.find(words[1]);
-            if (found == open_.end()) return true;  // the answer was under way already
-            const Call call = found->second;
-            release(words[1]);
-            owner_.requests_.withdraw(owner_.loop_.now(), call.id);
-            if (owner_.loop_.now() - call.takenAt < kTakenBackAtOnce) strike();
+            takeBack(words[1]);
             return true;
         }
         if (words[0] != "CHECK") return false;
@@ -293,6 +282,15 @@
         return true;
     }
 
+    void takeBack(const std::string& tag) {
+        const auto found = open_.find(tag);
+        if (found == open_.end()) return;  // the answer was under way already
+        const Call call = found->second;
+        release(tag);
+        owner_.requests_.withdraw(owner_.loop_.now(), call.id);
+        if (owner_.loop_.now() - call.takenAt < kTakenBackAtOnce) strike();
+    }
+
     bool call(std::vector<std::string>& words) {
         if (words.size() < 3) return false;
         const std::string tag = words[1];
@@ -402,12 +400,17 @@
         settle();
     }
 
-    // A client that does not read its answers gets no further ones until it does.
+    // A client that does not read its answers gets no further ones until it does; it is read on as far as
+    // what it says can be held.
     void settle() {
-        count(stream_.unsent() + ahead_.size() + parser_.held());
-        if (ending_) return;
-        const bool behind = stream_.unsent() > owner_.clientBacklog() && !owner_.lastCall_;
-        stream_.pauseReading(!ahead_.empty() || behind);
+        count(stream_.unsent() + ahead_.size() + heldBytes_ + parser_.held());
+        if (ending_ || stream_.closed()) return;
+        stream_.pauseReading(malformed_ || !ahead_.empty());
+        if (!unheard() || behind() || resume_) return;
+        resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
+            resume_.reset();
+            takeMessages();
+        });
     }
     void count(std::size_t unsent) {
         owner_.unsent_ += unsent;
@@ -417,7 +420,10 @@
 
     Front& owner_;
     net::RespParser parser_;
-    std::string ahead_;                           // read, and not yet taken
+    std::string ahead_;                          // read, and not yet in words
+    std::deque<std::vector<std::string>> held_;  // in words, and not yet taken
+    std::size_t heldBytes_ = 0;
+    bool malformed_ = false;                      // what follows those can't be read
     std::unordered_map<std::string, Call> open_;  // by tag
     std::size_t counted_ = 0;
     Micros connectedAt_, lastUsed_, lastByte_, lastCall_{};
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -131,8 +131,8 @@
           opened_(opened),
           carrier_(loop_, configuration_),
           decisions_(baseOf(configuration_).words, baseOf(configuration_).seed, loop_.now(),
-                     core::unixAhead(loop_.now())),
-          before_(carrier_, core::unixAhead(loop_.now()), std::move(form)),
+                     core::unixAhead()),
+          before_(carrier_, core::unixAhead(), std::move(form)),
           requests_(decisions_, before_, purged),
           front_(loop_, requests_, configuration_),
           bus_(loop_, [this](const settings::BusEvent& event) { apply(event); }) {
--- /dev/null
+++ b/src/platform/store_words.hpp
@@ -0,0 +1,66 @@
+// What is said to the stores and by them, in the platform's words.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "../core/requests.hpp"
+#include "fields.hpp"
+
+namespace lotuslead::platform {
+
+inline Note noteOf(std::string_view word) {
+    constexpr std::array<std::pair<std::string_view, Note>, 10> notes{{{"local", Note::hit},
+                                                                       {"pulled", Note::filled},
+                                                                       {"pulled_far", Note::filledByOrigin},
+                                                                       {"rode", Note::joined},
+                                                                       {"expired", Note::stale},
+                                                                       {"turned_away", Note::sourceRefused},
+                                                                       {"cut_off", Note::sourceUnreached},
+                                                                       {"not_there", Note::sourceLacks},
+                                                                       {"no_place", Note::noFillPlace},
+                                                                       {"far_fault", Note::originFailed}}};
+    for (const auto& [name, note] : notes)
+        if (name == word) return note;
+    return Note::none;
+}
+
+inline std::optional<Outcome> outcomeOf(std::string_view word) {
+    if (word == "ok" || word == "current") return Outcome::served;
+    if (word == "nothing") return Outcome::noCopy;
+    if (word == "refused") return Outcome::notTaken;
+    if (word == "error") return Outcome::error;
+    if (word == "stale") return Outcome::notSent;
+    return std::nullopt;
+}
+
+inline std::string fieldsOf(const core::Request& request, const core::Verdict& send, core::Micros waited) {
+    const auto ms = [](core::Micros t) { return static_cast<std::int64_t>(t.count() / 1000); };
+    FieldWriter fields;
+    fields.add("profile", request.className);
+    fields.add("thing", request.object);
+    fields.add("nth", request.part);
+    fields.add("max", std::max<std::int64_t>(1, ms(send.timeout - waited)));
+    if (!request.key.empty()) fields.add("replay", request.key);
+    if (!send.source.empty()) fields.add("via", send.source);
+    if (send.keepRank > 0) fields.add("tier", send.keepRank);
+    // Rounded down, so that a copy from before a purge never passes; 0 would mean "any age".
+    if (send.oldest.count() > 0) fields.add("fresh", std::max<std::int64_t>(1, ms(send.oldest)));
+    std::string how;
+    const auto option = [&](bool on, const char* word) {
+        if (on) how += (how.empty() ? "" : "+") + std::string(word);
+    };
+    option(send.join, "share");
+    option(send.heldOnly, "peek");
+    option(send.renew, "swr");
+    if (!how.empty()) fields.add("opts", how);
+    if (!request.known.empty()) fields.add("known", request.known);
+    return std::string(fields.text());
+}
+
+}  // namespace lotuslead::platform
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -6,7 +6,7 @@
 
 #include "../core/service.hpp"
 #include "../support/hash.hpp"
-#include "fields.hpp"
+#include "store_words.hpp"
 
 namespace lotuslead::platform {
 
@@ -31,55 +31,6 @@
 constexpr std::size_t kLargestAnswer = 240'000;
 constexpr int kMostMoves = 2;
 
-Note noteOf(std::string_view word) {
-    constexpr std::array<std::pair<std::string_view, Note>, 10> notes{{{"local", Note::hit},
-                                                                       {"pulled", Note::filled},
-                                                                       {"pulled_far", Note::filledByOrigin},
-                                                                       {"rode", Note::joined},
-                                                                       {"expired", Note::stale},
-                                                                       {"turned_away", Note::sourceRefused},
-                                                                       {"cut_off", Note::sourceUnreached},
-                                                                       {"not_there", Note::sourceLacks},
-                                                                       {"no_place", Note::noFillPlace},
-                                                                       {"far_fault", Note::originFailed}}};
-    for (const auto& [name, note] : notes)
-        if (name == word) return note;
-    return Note::none;
-}
-
-std::optional<Outcome> outcomeOf(std::string_view word) {
-    if (word == "ok" || word == "current") return Outcome::served;
-    if (word == "nothing") return Outcome::noCopy;
-    if (word == "refused") return Outcome::notTaken;
-    if (word == "error") return Outcome::error;
-    if (word == "stale") return Outcome::notSent;
-    return std::nullopt;
-}
-
-std::string fieldsOf(const core::Request& request, const core::Verdict& send, Micros waited) {
-    const auto ms = [](Micros t) { return static_cast<std::int64_t>(t.count() / 1000); };
-    FieldWriter fields;
-    fields.add("profile", request.className);
-    fields.add("thing", request.object);
-    fields.add("nth", request.part);
-    fields.add("max", std::max<std::int64_t>(1, ms(send.timeout - waited)));
-    if (!request.key.empty()) fields.add("replay", request.key);
-    if (!send.source.empty()) fields.add("via", send.source);
-    if (send.keepRank > 0) fields.add("tier", send.keepRank);
-    // Rounded down, so that a copy from before a purge never passes; 0 would mean "any age".
-    if (send.oldest.count() > 0) fields.add("fresh", std::max<std::int64_t>(1, ms(send.oldest)));
-    std::string how;
-    const auto option = [&](bool on, const char* word) {
-        if (on) how += (how.empty() ? "" : "+") + std::string(word);
-    };
-    option(send.join, "share");
-    option(send.heldOnly, "peek");
-    option(send.renew, "swr");
-    if (!how.empty()) fields.add("opts", how);
-    if (!request.known.empty()) fields.add("known", request.known);
-    return std::string(fields.text());
-}
-
 }  // namespace
 
 // One connection. A PULL is put into words only when its first byte can go out at once: until then it can be
@@ -181,7 +132,7 @@
                 const auto place = owner_.places_.find(w.send.request);
                 if (place != owner_.places_.end()) place->second.link.reset();  // not written on any
                 // Later in the turn: the end may have come in the middle of another's send.
-                owner_.loop_.post([owner = &owner_, shared] { owner->carry(std::move(*shared)); });
+                owner_.loop_.whenAllIsHeard([owner = &owner_, shared] { owner->carry(std::move(*shared)); });
             } else {
                 report(w.send.request, w.send.attempt, Outcome::noConnection, std::exchange(blameless, true));
             }
@@ -193,7 +144,7 @@
         RequestId request;
         int attempt;
         Micros writtenAt;
-        bool known;                  // the client's copy was named
+        std::string known;           // the tag of the client's copy, if it was named
         std::int64_t leastMintedMs;  // a copy made before is too old; Unix time
         bool repeatable;
     };
@@ -201,10 +152,17 @@
     void streamOpened() override {
         openedAt_ = owner_.loop_.now();
         stopTimer();
-        flush();
+        flushWhatWaited();
         restIfIdle();
     }
-    void streamDrained() override { flush(); }
+    void streamDrained() override { flushWhatWaited(); }
+    // Its client may have left in this very turn.
+    void flushWhatWaited() {
+        if (waiting_.empty()) return;
+        owner_.loop_.whenAllIsHeard([self = weak_from_this()] {
+            if (const auto link = self.lock()) link->flush();
+        });
+    }
     void streamEnded(net::Stream::End why) override {
         using End = net::Stream::End;
         if (why == End::refused) ++owner_.counters_.connectFailures;
@@ -250,6 +208,7 @@
             }
             if (!owner_.mayProbe_) return watchSilence(owner_.silence_.limit());
             ++owner_.counters_.echoes;
+            ++echoesDue_;
             echoAt_ = owner_.loop_.now();
             std::string words;
             net::appendResp(words, {"ECHO", std::to_string(++owner_.lastEcho_)});
@@ -271,7 +230,10 @@
         const auto outcome = outcomeOf(words[1]);
         const auto found = out_.find(words[0]);
         if (found == out_.end()) {  // an echo, or of an attempt given up, whose end was on its way already
-            if (words[1] == "yes" || words[1] == "no") return true;
+            if (echoesDue_ > 0 && (words[1] == "yes" || words[1] == "no")) {
+                --echoesDue_;
+                return true;
+            }
             given_.erase(words[0]);
             ++owner_.counters_.lateAnswers;
             return ++strays_ <= kMostStrays;
@@ -312,8 +274,10 @@
     // Looked at before it is passed on: what has lost its bytes or its age on the way is no answer.
     static bool whole(const std::vector<std::string>& words, const Fields& fields, const Sent& sent) {
         if (words.size() < 4 || words[3].size() > kLargestAnswer) return false;
-        if (words[1] == "current" && (!sent.known || !words[3].empty())) return false;
+        if (words[1] == "current" && (sent.known.empty() || !words[3].empty())) return false;
         const std::string_view tag = fields.text("tag"), minted = fields.text("minted");
+        // It names the client's copy, or it does not say that this one holds.
+        if (words[1] == "current" && tag != sent.known) return false;
         return (tag.empty() || isHex(tag, 16)) &&
                (minted.empty() || fields.whole("minted").value_or(-1) >= 0);
     }
@@ -322,8 +286,7 @@
         while (stream_.opened() && !waiting_.empty() && stream_.unsent() == 0) {
             // The store has closed, and that has not been handled yet: what is written now would be lost, and
             // count as perhaps run.
-            if (stream_.peerEnded())
-                return fail(Outcome::broken, heard_ ? Verdict::one : Verdict::none, true);
+            if (stream_.peerEnded()) return stream_.readSoon();
             const Waiting& next = waiting_.front();
             const Micros now = owner_.loop_.now();
             const Micros waited = now - next.send.pickedAt;
@@ -344,7 +307,7 @@
             out_[request.label] = {next.send.request,
                                    next.send.attempt,
                                    now,
-                                   !request.known.empty(),
+                                   request.known,
                                    owner_.leastMintedMs(next.send.oldest),
                                    owner_.repeatable_.at(static_cast<std::size_t>(request.classIndex))};
             waiting_.pop_front();
@@ -403,7 +366,7 @@
     std::unordered_map<std::string, Micros> given_;  // given up, and when; their answers may still come
     std::vector<std::uint64_t> answered_;            // fingerprints of the last ones
     std::size_t nextAnswered_ = 0;
-    int strays_ = 0;
+    int strays_ = 0, echoesDue_ = 0;
     net::Loop::TimerKey timer_{};
     std::optional<net::Loop::TimerKey> stallTimer_, silenceTimer_;
     std::optional<Micros> half_;  // when the first byte of the answer in hand came
@@ -415,7 +378,7 @@
 };
 
 Stores::Stores(net::Loop& loop, const settings::Configuration& configuration)
-    : loop_(loop), unixAhead_(core::unixAhead(loop.now())) {
+    : loop_(loop), unixAhead_(core::unixAhead()) {
     reconfigure(configuration);
 }
 
@@ -577,9 +540,10 @@
 }
 
 void Stores::tell(AttemptEnd end) {
-    // Later in the turn: the caller may be in the middle of the very request that this is about.
+    // Later in the turn: the caller may be in the middle of the very request that this is about. And what its
+    // client has said by then is known before the request is sent on.
     auto shared = std::make_shared<AttemptEnd>(std::move(end));
-    loop_.post([this, shared] {
+    loop_.whenAllIsHeard([this, shared] {
         const auto found = places_.find(shared->request);
         if (found == places_.end() || found->second.attempt != shared->attempt) return;
         places_.erase(found);
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "../core/service.hpp"
+#include "target.hpp"
 
 namespace lotuslead::repository {
 
@@ -64,8 +65,9 @@
     ~Link() override { stopTimer(); }
 
     bool connecting() const { return !ended_ && !stream_.opened(); }
-    // One whose close has come and is not handled yet would lose what is written now.
-    bool ready() const { return !ended_ && stream_.opened() && !work_ && !stream_.peerEnded(); }
+    // One whose close has come and is not handled yet would lose what is written now; and what it says
+    // unasked, such as 408 before it closes, would pass for the answer.
+    bool ready() const { return !ended_ && stream_.opened() && !work_ && stream_.quiet(); }
     bool has(RequestId request) const { return work_ && work_->send.request == request; }
 
     void take(const Waiting& work) {
@@ -93,7 +95,11 @@
 private:
     void streamOpened() override {
         rest();
-        owner_.serveWaiting(host_);
+        serveWhatWaited();
+    }
+    // Its client may have left in this very turn.
+    void serveWhatWaited() {
+        owner_.loop_.whenAllIsHeard([self = shared_from_this()] { self->owner_.serveWaiting(self->host_); });
     }
     bool streamData(std::string_view data) override {
         while (!data.empty()) {
@@ -126,8 +132,7 @@
         owner_.tell(outcomeOf(work));
         if (!keep) return fail(Outcome::broken);
         rest();
-        const auto self = shared_from_this();
-        owner_.loop_.post([self] { self->owner_.serveWaiting(self->host_); });
+        serveWhatWaited();
     }
 
     AttemptEnd outcomeOf(const Waiting& work) {
@@ -151,7 +156,11 @@
             facts.emplace_back(kTotal, std::to_string(range.total.value_or(0)));
             facts.emplace_back(kFirst, std::to_string(range.first.value_or(0)));
         } else if (status == 304) {
-            end.payload.unchanged = true;
+            // Of a copy that the client holds, or it says nothing of any.
+            const std::string& known = work.request->known;
+            const std::string* tag = head.field("etag");
+            end.payload.unchanged = !known.empty() && (!tag || matchesAny(known, *tag));
+            if (!end.payload.unchanged) end.outcome = Outcome::error;
         } else if (status == 416 && range.total) {
             facts.emplace_back(kTotal, std::to_string(*range.total));
         } else if (status == 410 || status == 404) {
@@ -210,7 +219,7 @@
 };
 
 Upstreams::Upstreams(net::Loop& loop, const settings::RepositoryConfiguration& configuration)
-    : loop_(loop), unixAhead_(core::unixAhead(loop.now())), configuration_(configuration) {
+    : loop_(loop), unixAhead_(core::unixAhead()), configuration_(configuration) {
     reconfigure(configuration);
 }
 
@@ -346,9 +355,10 @@
 }
 
 void Upstreams::tell(AttemptEnd end) {
-    // Later in the turn: the caller may be in the middle of the very request that this is about.
+    // Later in the turn: the caller may be in the middle of the very request that this is about. And what its
+    // client has said by then is known before the request is sent on.
     auto shared = std::make_shared<AttemptEnd>(std::move(end));
-    loop_.post([this, shared] {
+    loop_.whenAllIsHeard([this, shared] {
         const auto found = out_.find(shared->request);
         if (found == out_.end() || found->second != shared->attempt) return;
         out_.erase(found);
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,210 @@
+// What comes in one turn, in whatever order the gateway looks at it, and answers that say what they may not.
+#include <sys/stat.h>
+
+#include "moments.hpp"
+
+namespace {
+
+using namespace lotuslead::testing;
+
+// One has left before the connection came up and one after; the gateway sees all three at once.
+void whoLeavesAsTheConnectionComesUpIsNotSentOn() {
+    Fleet fleet;
+    LateStore late;
+    Program program(configuration(fleet.with({host("cache-1", late.peer.address())})));
+    Connection before(program.port()), after(program.port()), stays(program.port());
+    call(before, "1");
+    call(after, "1");
+    call(stays, "1");
+    program.awaitCounters("attempts sent=3 ");
+    program.stop();
+    before.sendResp({"CANCEL", "1"});
+    late.start();
+    late.ups.await(2);
+    after.sendResp({"CANCEL", "1"});
+    program.goOn();
+    assert(stays.readResp().at(3) == "late store");
+    settle(program.port());
+    assert(late.pulls.count() == 1);
+}
+
+// As that, where the first store refuses just then and the call would go to the second.
+void whoLeavesAsItsStoreRefusesIsNotSentOn() {
+    Fleet fleet;
+    Mark pulled, refuse;
+    std::atomic<int> pulls{0};
+    const auto answer = [&](Connection& c, const std::vector<std::string>& words) {
+        ++pulls;
+        pulled.raise();
+        refuse.await(1);
+        c.sendResp({words[1], "refused", "-", ""});
+    };
+    Mark refused;
+    Peer first(store([&](Connection& c, const std::vector<std::string>& words) {
+        answer(c, words);
+        refused.raise();
+    }));
+    Program program(configuration(fleet.with({host("cache-1", first.address())})));
+    Connection before(program.port()), after(program.port());
+    call(before, "1");
+    pulled.await(1);
+    call(after, "1");
+    program.awaitCounters("attempts sent=2 ");
+    program.stop();
+    before.sendResp({"CANCEL", "1"});
+    refuse.raise();
+    refused.await(2);
+    after.sendResp({"CANCEL", "1"});
+    program.goOn();
+    program.awaitCounters(" gone=2 ");
+    program.awaitCounters("attempts sent=2 ");
+}
+
+// The call is there before the event bus tells of the drain, or after it: it is all one turn.
+void aDrainIsKnownToTheCallsThatComeWithIt() {
+    for (const bool drainFirst : {true, false}) {
+        Fleet fleet;
+        Bus bus;
+        Peer drained(store(serving("drained"))), other(store(serving("other")));
+        json settings = configuration(fleet.with({host("cache-1", drained.address())}));
+        settings["bus"] = bus.address();
+        Program program(settings);
+        Connection client(program.port());
+        call(client, "1");
+        assert(client.readResp().at(3) == "drained");
+        program.stop();
+        if (!drainFirst) call(client, "2");
+        bus.note(topology(
+            {host("cache-1", drained.address(), "small", "draining"), host("cache-2", other.address())}));
+        bus.awaitSaid();
+        if (drainFirst) call(client, "2");
+        program.goOn();
+        assert(client.readResp().at(3) == "other");
+    }
+}
+
+// The store's last answer and its close are both unread when the next calls are there, before and after.
+void aCloseBehindAnAnswerIsSeen() {
+    Fleet fleet;
+    Mark pulled, go, closed;
+    std::atomic<int> connections{0};
+    Peer cache([&](Connection& c) {
+        const bool first = ++connections == 1;
+        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
+            if (first) {
+                pulled.raise();
+                go.await(1);
+            }
+            serving("here")(c, words);
+            if (!first) continue;
+            c.shut();
+            return closed.raise();
+        }
+    });
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    category(settings, 2)["effect"] = "single_shot";
+    settings["settings"]["allowed"]["mostTries"] = 1;
+    Program program(settings);
+    Connection one(program.port()), before(program.port()), after(program.port());
+    call(one, "1", "", "checkout");
+    pulled.await(1);
+    for (Connection* c : {&before, &after}) {
+        c->sendResp({"CHECK", "1", ""});
+        assert(c->readResp().at(1) == "PASS");
+    }
+    program.stop();
+    call(before, "2", "", "checkout");
+    go.raise();
+    closed.await(1);
+    call(after, "2", "", "checkout");
+    program.goOn();
+    for (Connection* c : {&one, &before, &after}) assert(c->readResp().at(1) == "SERVED");
+}
+
+void aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed() {
+    for (const std::string fields : {"tag=4be0c1927d55a6f4,minted=1764576000000", "minted=1764576000000"}) {
+        Fleet fleet;
+        std::atomic<int> pulls{0};
+        const auto script = store([&](Connection& c, const std::vector<std::string>& words) {
+            if (++pulls > 1) return serving("whole")(c, words);
+            c.sendResp({words[1], "current", fields, ""});
+        });
+        Peer first(script), second(script);
+        Program program(
+            configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())})));
+        Connection client(program.port());
+        call(client, "1", ",cached=4be0c1927d55a6f3");
+        assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "whole"}));
+    }
+}
+
+// Each answer leads to the next poll. Those that come unasked do not, and who does not read them is left.
+void answersOfTheEventBusToNothingLeadToNoPolls() {
+    const std::string body = R"({"offset":1,"batch":[]})";
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    Mark ended;
+    std::atomic<int> connections{0}, polls{0};
+    Peer bus([&](Connection& c) {
+        const bool first = ++connections == 1;
+        if (c.readHead().empty()) return;
+        c.send(first ? answer + answer : answer);
+        while (!c.readHead().empty()) polls += first;
+        if (first) ended.raise();
+    });
+    Fleet fleet;
+    json settings = configuration(fleet.with({}));
+    settings["bus"] = bus.address();
+    Program program(settings);
+    ended.await(1);
+    assert(polls <= 1);
+}
+
+// The process is held for a second between the first look at its clock and the Unix clock's, by its own file.
+void aStartThatIsHeldUpMovesNoPurge() {
+    const std::string pipe = "/tmp/lotuslead-held-" + std::to_string(::getpid());
+    const int made = ::mkfifo(pipe.c_str(), 0600);
+    assert(made == 0);
+    Fleet fleet;
+    Bus bus;
+    Mark pulled;
+    std::int64_t purged = 0, late = 0;
+    const auto unixMs = [] {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    };
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        const std::int64_t oldest = std::atoll(valueOf(words[2], "fresh").c_str());
+        late = oldest - (unixMs() - purged);
+        serving("here")(c, words);
+        pulled.raise();
+    }));
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["bus"] = bus.address();
+    Program program(json(), "LB_CONFIG", 1024, {{"LB_CONFIG", pipe}});
+    std::ofstream file(pipe);  // opens once the process reads it
+    std::this_thread::sleep_for(1s);
+    file << settings.dump();
+    file.close();
+    Connection client(program.port());
+    purged = unixMs();
+    bus.tell({{"ban", {{"tag", 3}, {"ts", purged}}}});
+    call(client, "1");
+    pulled.await(1);
+    std::remove(pipe.c_str());
+    assert(late <= 1);  // a copy from before the purge will not do
+}
+
+constexpr Story kStories[] = {
+    {"up-and-left", whoLeavesAsTheConnectionComesUpIsNotSentOn},
+    {"refused-and-left", whoLeavesAsItsStoreRefusesIsNotSentOn},
+    {"drained-with-calls", aDrainIsKnownToTheCallsThatComeWithIt},
+    {"answer-and-close", aCloseBehindAnAnswerIsSeen},
+    {"other-tag", aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed},
+    {"held-start", aStartThatIsHeldUpMovesNoPurge},
+    {"bus-unasked", answersOfTheEventBusToNothingLeadToNoPolls},
+};
+
+}  // namespace
+
+int main(int count, char** words) { playStories(kStories, count, words); }
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -216,6 +216,13 @@
         assert(came);
     }
 
+    // What was noted is with the gateway's machine, whether or not it has been read.
+    void awaitSaid() {
+        std::unique_lock lock(mutex_);
+        const bool came =
+            changed_.wait_for(lock, std::chrono::seconds(kPatience), [&] { return said_ >= last_; });
+        assert(came);
+    }
     // Whether or not anybody asks.
     void note(json event) {
         const std::lock_guard lock(mutex_);
@@ -243,6 +250,8 @@
                 if (event["offset"] > from) batch.push_back(event);
             const std::string body = json{{"offset", last_}, {"batch", batch}}.dump();
             c.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            said_ = last_;
+            changed_.notify_all();
             if (curt_) return c.shut();
             if (over_) return;
         }
@@ -252,7 +261,7 @@
     std::condition_variable changed_;
     std::vector<json> events_;
     int last_;  // the first event is the list under `known`
-    int asked_ = 0;
+    int asked_ = 0, said_ = 0;
     bool over_ = false;
     bool curt_;
     Peer peer_;
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -1,70 +1,11 @@
 // Moments that are rare in service, each forced: what comes between two lines of the gateway's own.
-#include <sys/stat.h>
-
-#include <cstring>
+#include "moments.hpp"
 
-#include "loopback.hpp"
+#include <sys/stat.h>
 
 namespace {
 
 using namespace lotuslead::testing;
-using Clock = std::chrono::steady_clock;
-
-constexpr auto kSlowMachine = 300ms;  // the program's clock begins when the signal reaches it
-const std::string kKey = ",nonce=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
-
-json& category(json& settings, std::size_t at) { return settings["settings"]["categories"][at]; }
-void limitAll(json& settings, long long ms) {
-    for (auto& one : settings["settings"]["categories"]) {
-        one["hardLimit"] = ms * 1'000'000;
-        one["aim"] = ms * 500'000;
-    }
-}
-
-// Its link holds all that comes.
-json withRoomFor(json cache, const Fleet& fleet) {
-    cache["weight"] = 1000;
-    json settings = configuration(fleet.with({cache}));
-    settings["settings"]["weights"] = "nominal";
-    return settings;
-}
-
-// A store whose connections do not come up before it is started.
-struct LateStore {
-    Peer peer{nullptr, 0};
-    Connection filler{peer.port()};
-    Mark pulls;
-    std::mutex mutex;
-    std::vector<std::string> labels;
-
-    void start() {
-        peer.start(store([this](Connection& c, const std::vector<std::string>& words) {
-            {
-                const std::lock_guard lock(mutex);
-                labels.push_back(words[1]);
-            }
-            pulls.raise();
-            serving("late store")(c, words);
-        }));
-    }
-};
-
-void callFor(Connection& client, int number, const std::string& entity) {
-    char trace[17];
-    static int count = 0x1000000;
-    std::snprintf(trace, sizeof trace, "%016x", ++count);
-    client.sendResp({"CALL", std::to_string(number), "page",
-                     "trace=" + std::string(trace) + ",patience=8000,entity=" + entity + ",block=0", ""});
-}
-
-// After a round trip of another client all that came before has been handled.
-void settle(std::uint16_t port) {
-    for (int i = 1; i <= 3; ++i) {
-        Connection c(port);
-        c.sendResp({"CHECK", "1", ""});
-        assert(!c.readResp().empty());
-    }
-}
 
 // ----- the end of the process -----
 
@@ -159,7 +100,7 @@
     assert(pulled.count() == 2);
 }
 
-void aClientThatLeavesWithAnswersUnreadIsNoticed() {
+void aClientThatLeavesWithAnswersUnreadIsNoticed(bool closes) {
     Fleet fleet;
     LateStore late;
     Bus bus;
@@ -178,7 +119,13 @@
     bus.tell(topology({wide}));
     for (int i = 3; i < 30; ++i) call(leaves, std::to_string(i));
     program.awaitCounters(" served=27 ");  // 6 MB, of which it reads nothing
-    leaves.shutSending();
+    if (closes) {
+        leaves.shutSending();
+    } else {
+        leaves.sendResp({"CANCEL", "1"});
+        call(leaves, "30");
+        leaves.sendResp({"CANCEL", "30"});
+    }
     program.awaitCounters(" gone=1 ");
     late.start();
     bus.tell(topology({host("cache-1", cache.address(), "small", "draining")}));
@@ -377,8 +324,8 @@
     over = true;
 }
 
-// Whole answers to nothing that was asked: as long as they come, the connection looks alive.
-void answersToNothingEndTheirConnection() {
+// Whole answers to nothing that was asked, or echoes: as long as they come, the connection looks alive.
+void answersToNothingEndTheirConnection(const char* word) {
     Fleet fleet;
     std::atomic<int> pulls{0};
     const auto script = [&](Connection& c) {
@@ -388,7 +335,7 @@
                 serving("whole")(c, words);
                 continue;
             }
-            for (int i = 0; i < 1500; ++i) c.sendResp({"00000000000fffff", "ok", "minted=1", "stray"});
+            for (int i = 0; i < 1500; ++i) c.sendResp({"00000000000fffff", word, "minted=1", "stray"});
         }
     };
     Peer first(script), second(script);
@@ -480,16 +427,13 @@
     }
 }
 
-struct Story {
-    const char* name;
-    void (*play)();
-};
 constexpr Story kStories[] = {
     {"sigkill", whatIsOpenIsAnsweredBeforeSigkillMayCome},
     {"door", whoWaitsAtTheDoorIsServedBeforeTheEnd},
     {"early-signal", aSignalBeforeThereIsAGatewayWaits},
     {"taken-back", whatWasTakenBackBeforeItWasReadIsNotSentOn},
-    {"unread-answers", aClientThatLeavesWithAnswersUnreadIsNoticed},
+    {"unread-answers", [] { aClientThatLeavesWithAnswersUnreadIsNoticed(true); }},
+    {"unread-cancel", [] { aClientThatLeavesWithAnswersUnreadIsNoticed(false); }},
     {"no-cancel", whereCancelsAreBarredNothingIsSentForAClientThatLeft},
     {"just-closed", anIdleConnectionThatWasJustClosedIsNotUsed},
     {"no-bytes", aStoreThatTakesNoBytesIsLeftNotTold},
@@ -497,7 +441,8 @@
     {"late-repeat", aRepeatThatHasWaitedTooLongIsNotSent},
     {"spoilt-write", aSpoiltAnswerToAWriteIsNotTakenForAMiss},
     {"endless-answer", anAnswerWithoutEndHoldsNothingUpForLongerThanRequestsLast},
-    {"strays", answersToNothingEndTheirConnection},
+    {"strays", [] { answersToNothingEndTheirConnection("ok"); }},
+    {"echoes", [] { answersToNothingEndTheirConnection("yes"); }},
     {"dead-watch", aDeadWatchIsGivenUpWithinTheTimeForADrain},
     {"largest", theLargestAreAnsweredLikeTheRest},
     {"hints", aRefusalAtTheDoorKeepsToTheSettingsOnHints},
@@ -505,11 +450,4 @@
 
 }  // namespace
 
-// With names: those alone.
-int main(int count, char** words) {
-    for (const Story& story : kStories) {
-        bool wanted = count < 2;
-        for (int i = 1; i < count; ++i) wanted = wanted || std::strcmp(words[i], story.name) == 0;
-        if (wanted) story.play();
-    }
-}
+int main(int count, char** words) { playStories(kStories, count, words); }
--- a/tests/repository_test.cpp
+++ b/tests/repository_test.cpp
@@ -87,6 +87,58 @@
 }
 
 // What is open when the process must end is broken off or refused, and the client can tell.
+// What a server says unasked, as it may before it closes (RFC 9110, 15.5.9), is no answer to what comes next.
+void whatAServerSaysOfItselfIsNoAnswer() {
+    Mark say, said;
+    std::atomic<int> connections{0};
+    Peer server([&](Connection& c) {
+        const bool first = ++connections == 1;
+        while (!c.readHead().empty()) {
+            c.send("HTTP/1.1 200 OK\r\nETag: \"a\"\r\nContent-Length: 4\r\n\r\nhere");
+            if (!first) continue;
+            say.await(1);
+            c.send("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+            said.raise();
+        }
+    });
+    json settings =
+        repository({host("cache-1", server.address()), host("parent-1", server.address(), "parent"),
+                    host("origin-1", server.address(), "origin")});
+    settings["settings"]["allowed"]["mostTries"] = 1;
+    Program program(settings, "LB_REPOSITORY");
+    Connection before(program.port()), after(program.port());
+    for (Connection* c : {&before, &after}) assert(get(*c, "/elsewhere").status == 404);
+    assert(get(before, "/index/plugins.json").status == 200);
+    program.stop();
+    ask(before, "/index/plugins.json");
+    say.raise();
+    said.await(1);
+    ask(after, "/index/plugins.json");
+    program.goOn();
+    assert(read(before).status == 200);
+    assert(read(after).status == 200);
+}
+
+// 304 says nothing to who holds no copy, or another one.
+void aCopyThatNobodyNamedIsNotUnmodified() {
+    std::atomic<int> asked{0};
+    Peer server([&](Connection& c) {
+        while (!c.readHead().empty())
+            c.send(++asked % 2 == 1 ? "HTTP/1.1 304 Not Modified\r\nETag: \"b\"\r\n\r\n"
+                                    : "HTTP/1.1 200 OK\r\nETag: \"c\"\r\nContent-Length: 4\r\n\r\nhere");
+    });
+    Program program(repository({host("cache-1", server.address()), host("cache-2", server.address()),
+                                host("parent-1", server.address(), "parent"),
+                                host("origin-1", server.address(), "origin")}),
+                    "LB_REPOSITORY");
+    Connection client(program.port());
+    for (const char* known : {"", "If-None-Match: \"a\"\r\n"}) {
+        const Got got = get(client, "/index/plugins.json", known);
+        assert(got.status == 200 && got.body == "here");
+    }
+    assert(asked == 4);
+}
+
 void whatIsOpenIsEndedBeforeSigkillMayCome() {
     Mark asked, go;
     Repository server(4'000'000, [&](const std::string& path, const std::string& head) {
@@ -227,6 +279,8 @@
 
 int main() {
     anIdleConnectionThatWasJustClosedIsNotUsed();
+    whatAServerSaysOfItselfIsNoAnswer();
+    aCopyThatNobodyNamedIsNotUnmodified();
     whatIsOpenIsEndedBeforeSigkillMayCome();
     badClientsEndSoonAndKeepNobodyOut();
     indexesAndFilesAreServedAsTheSpecificationsSay();
--- a/tests/shared_story_test.cpp
+++ b/tests/shared_story_test.cpp
@@ -96,6 +96,10 @@
         std::fprintf(stderr,
                      "the old index came for the last time %lld ms after the purge, of %lld ms looked at\n",
                      static_cast<long long>(500 + last), static_cast<long long>(passed));
+        if (500 + last > 2400) {
+            b.awaitCounters(" bus ");
+            std::fprintf(stderr, "%s\n%s\n", b.log().c_str(), cluster.log(lonely).c_str());
+        }
         assert(500 + last <= 2400);
         // A box that comes now is known to both, also behind the agent that was cut off, once the links are
         // back.
