Keep a new store from what was its address's old owner's, and the time of SIGTERM

Found by reading; each story fails with the program of: - stores.cpp:476: a new store at the address of one whose end is still to be told was sent what was the old one's by name. It may be cold, and none of that counted as its own. Now the old name has no address; connections that are up stay. - gateway.cpp:184: SIGHUP with longer deadlines while the process leaves moved its end past the moment at which SIGKILL may come. The least of those that held since SIGTERM counts. Ruled out: two names told at one address in one event are left alone, as are the servers of the repository front, which may play several parts.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,6 +169,8 @@
     if (phase_ != Phase::serving && phase_ != Phase::draining) return;
     phase_ = Phase::leaving;
     leavingSince_ = loop_.now();
+    longest_ = Micros::max();
+    boundTime();
     // Without a successor new connections still come here for a while, and have nowhere else to go.
     handedOver_ = meeting_.successorServes();
     for (const auto& service : services_) handedOver_ ? service->yield() : service->leave();
@@ -176,13 +178,19 @@
                  openRequests());
 }
 
+// The file may be read again while this leaves: by which the platform goes is not known here.
+void Gateway::boundTime() {
+    Micros longest{};
+    for (const auto& service : services_) longest = std::max(longest, service->longestDeadline());
+    longest_ = std::min(longest_, longest);
+}
+
 void Gateway::advance() {
     if (phase_ != Phase::leaving) return;
+    boundTime();
     const Micros passed = loop_.now() - leavingSince_;
     if (passed < kStillComing && !handedOver_) return;
-    Micros longest{};
-    for (const auto& service : services_) longest = std::max(longest, service->longestDeadline());
-    const Micros kill = std::min(longest, kMostDeadline) + kStillComing;
+    const Micros kill = std::min(longest_, kMostDeadline) + kStillComing;
     if (passed >= kill - kLastCall && !std::exchange(lastCall_, true)) {
         std::fprintf(stderr, "lotuslead: last call, %zu requests open\n", openRequests());
         for (const auto& service : services_) service->lastCall();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -45,6 +45,7 @@
     void reload();
     void openDoor();
     void leave();
+    void boundTime();
     void advance();
     std::size_t openRequests() const;
     void printCounters() const;
@@ -58,6 +59,7 @@
     bool handedOver_ = false;  // a successor serves while this process leaves
     bool lastCall_ = false;    // what was open has been answered, and what still comes is refused
     core::Micros startedAt_{}, leavingSince_{};
+    core::Micros longest_{};  // the least of the longest deadlines that have held since then
     const char* folder_;
     Meeting meeting_;
     std::optional<settings::Endpoint> givenDoor_, doorAt_;
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -440,11 +440,22 @@
             dropAll(store);
         else if (restarted)
             dropBefore(store, std::chrono::milliseconds{listed.sinceMs} - unixAhead_);
+        if (moved) forsake(listed.address, event);
         if (!listed.address.empty()) store.address = listed.address;
         store.sinceMs = listed.sinceMs;
     }
 }
 
+// Whoever had this address before has gone, though that is still to be told: what is its own by name must not
+// reach the new one, which may be cold.
+void Stores::forsake(const std::string& address, const settings::BusEvent& event) {
+    for (auto& [name, store] : stores_) {
+        const bool listed = std::any_of(event.stores.begin(), event.stores.end(),
+                                        [&, &key = name](const auto& s) { return s.name == key; });
+        if (!listed && store.address == address) store.address.clear();
+    }
+}
+
 void Stores::dropAll(Store& store) {
     const auto links = store.links;
     for (const auto& link : links) link->fail(Outcome::broken, Link::Verdict::none);
@@ -467,6 +478,7 @@
     const auto known = stores_.find(host);
     if (known == stores_.end()) throw settings::Malformed("is not listed");
     Store& store = known->second;
+    if (store.address.empty()) throw settings::Malformed("has no address");
     retireStuck(store);
     std::shared_ptr<Link> best, silent;
     for (const auto& link : store.links) {
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -65,6 +65,7 @@
     void retireStuck(Store& store);
     void answered(const std::string& host, core::Micros writtenAt);
     void tell(core::AttemptEnd end);
+    void forsake(const std::string& address, const settings::BusEvent& event);
     void drop(const std::string& host, Link* link);
     void dropAll(Store& store);
     void dropBefore(Store& store, core::Micros restart);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -121,6 +121,52 @@
     for (Connection* c : {&one, &before, &after}) assert(c->readResp().at(1) == "SERVED");
 }
 
+// The new one is told before the end of the old one, whose address it has.
+void aStoreAtAnothersAddressIsSentNothingMeantForThat() {
+    Fleet fleet;
+    Mark pulled;
+    Bus bus;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        serving("here")(c, words);
+    }));
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["bus"] = bus.address();
+    Program program(settings);
+    json fresh = host("cache-2", cache.address(), "small", "draining");  // nothing is its own
+    bus.tell(topology({fresh}));
+    Connection client(program.port());
+    call(client, "1");
+    assert(client.readResp().at(1) != "SERVED");
+    bus.tell(topology({host("cache-2", cache.address())}));
+    call(client, "2");
+    assert(client.readResp().at(1) == "SERVED");
+    assert(pulled.count() == 1);
+}
+
+// The settings in force at SIGTERM count, or later ones that leave less time.
+void aFileReadAgainWhileItLeavesGivesNoMoreTime() {
+    Fleet fleet;
+    Mark pulled;
+    Peer cache(store([&](Connection&, const std::vector<std::string>&) { pulled.raise(); }));
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    limitAll(settings, 1500);
+    Program program(settings);
+    Connection client(program.port());
+    call(client, "1");
+    pulled.await(1);
+    const auto begin = Clock::now();
+    program.signal(SIGTERM);
+    program.awaitLog("leaving, 1 requests open");
+    limitAll(settings, 9000);
+    program.rewrite(settings.dump());
+    program.signal(SIGHUP);
+    program.awaitLog("configuration read again");
+    assert(client.readResp().at(0) == "1");
+    assert(program.exitCode() == 0);
+    assert(Clock::now() - begin < 2200ms + kSlowMachine);
+}
+
 void aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed() {
     for (const std::string fields : {"tag=4be0c1927d55a6f4,minted=1764576000000", "minted=1764576000000"}) {
         Fleet fleet;
@@ -201,6 +247,8 @@
     {"drained-with-calls", aDrainIsKnownToTheCallsThatComeWithIt},
     {"answer-and-close", aCloseBehindAnAnswerIsSeen},
     {"other-tag", aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed},
+    {"address", aStoreAtAnothersAddressIsSentNothingMeantForThat},
+    {"reload-leaving", aFileReadAgainWhileItLeavesGivesNoMoreTime},
     {"held-start", aStartThatIsHeldUpMovesNoPurge},
     {"bus-unasked", answersOfTheEventBusToNothingLeadToNoPolls},
 };
