Time the end of a leaving process by its own word, not by the sanitizer's exit

The time was taken after the process had gone, which under the sanitizer includes its search for leaks.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -163,8 +163,9 @@
     program.signal(SIGHUP);
     program.awaitLog("configuration read again");
     assert(client.readResp().at(0) == "1");
-    assert(program.exitCode() == 0);
+    program.awaitLog("lotuslead: stopped, 0 requests open");
     assert(Clock::now() - begin < 2200ms + kSlowMachine);
+    assert(program.exitCode() == 0);
 }
 
 void aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed() {
