--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -28,20 +28,14 @@
     assert(late.pulls.count() == 1);
 }
 
-// As that, where the first store refuses just then and the call would go to the second.
+// As that, where the store refuses just then and the call would be sent again.
 void whoLeavesAsItsStoreRefusesIsNotSentOn() {
     Fleet fleet;
-    Mark pulled, refuse;
-    std::atomic<int> pulls{0};
-    const auto answer = [&](Connection& c, const std::vector<std::string>& words) {
-        ++pulls;
+    Mark pulled, refuse, refused;
+    Peer first(store([&](Connection& c, const std::vector<std::string>& words) {
         pulled.raise();
         refuse.await(1);
         c.sendResp({words[1], "refused", "-", ""});
-    };
-    Mark refused;
-    Peer first(store([&](Connection& c, const std::vector<std::string>& words) {
-        answer(c, words);
         refused.raise();
     }));
     Program program(configuration(fleet.with({host("cache-1", first.address())})));
@@ -171,14 +165,10 @@
 void aClientsCopyIsCalledCurrentOnlyIfItIsTheOneNamed() {
     for (const std::string fields : {"tag=4be0c1927d55a6f4,minted=1764576000000", "minted=1764576000000"}) {
         Fleet fleet;
-        std::atomic<int> pulls{0};
-        const auto script = store([&](Connection& c, const std::vector<std::string>& words) {
-            if (++pulls > 1) return serving("whole")(c, words);
+        SpoiltOnce stores([fields](Connection& c, const std::vector<std::string>& words) {
             c.sendResp({words[1], "current", fields, ""});
         });
-        Peer first(script), second(script);
-        Program program(
-            configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())})));
+        Program program(stores.settings(fleet));
         Connection client(program.port());
         call(client, "1", ",cached=4be0c1927d55a6f3");
         assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "whole"}));
--- a/tests/moments.hpp
+++ b/tests/moments.hpp
@@ -65,6 +65,23 @@
     }
 }
 
+// Two stores, of which the one that is asked first answers as told; all that follows is served.
+struct SpoiltOnce {
+    explicit SpoiltOnce(Answer spoilt)
+        : script_(store([this, spoilt](Connection& c, const std::vector<std::string>& words) {
+              ++pulls_ > 1 ? serving("whole")(c, words) : spoilt(c, words);
+          })) {}
+    json settings(const Fleet& fleet) const {
+        return configuration(
+            fleet.with({host("cache-1", first_.address()), host("cache-2", second_.address())}));
+    }
+
+private:
+    std::atomic<int> pulls_{0};
+    Peer::Script script_;
+    Peer first_{script_}, second_{script_};
+};
+
 struct Story {
     const char* name;
     void (*play)();
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -298,22 +298,12 @@
 
 void anAnswerWithoutEndHoldsNothingUpForLongerThanRequestsLast() {
     Fleet fleet;
-    std::atomic<int> pulls{0};
     std::atomic<bool> over{false};
-    const auto script = [&](Connection& c) {
-        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
-            if (words[0] != "PULL") continue;
-            if (++pulls > 1) {
-                serving("whole")(c, words);
-                continue;
-            }
-            c.send("*4\r\n$16\r\n" + words[1] + "\r\n$2\r\nok\r\n$1\r\n-\r\n$20000\r\n");
-            for (int i = 0; i < 100 && !over; ++i, std::this_thread::sleep_for(50ms)) c.send("x");
-        }
-    };
-    Peer first(script), second(script);
-    json settings =
-        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())}));
+    SpoiltOnce stores([&](Connection& c, const std::vector<std::string>& words) {
+        c.send("*4\r\n$16\r\n" + words[1] + "\r\n$2\r\nok\r\n$1\r\n-\r\n$20000\r\n");
+        for (int i = 0; i < 100 && !over; ++i, std::this_thread::sleep_for(50ms)) c.send("x");
+    });
+    json settings = stores.settings(fleet);
     limitAll(settings, 1600);
     Program program(settings);
     Connection client(program.port());
@@ -327,20 +317,10 @@
 // Whole answers to nothing that was asked, or echoes: as long as they come, the connection looks alive.
 void answersToNothingEndTheirConnection(const char* word) {
     Fleet fleet;
-    std::atomic<int> pulls{0};
-    const auto script = [&](Connection& c) {
-        for (std::vector<std::string> words; !(words = c.readResp()).empty();) {
-            if (words[0] != "PULL") continue;
-            if (++pulls > 1) {
-                serving("whole")(c, words);
-                continue;
-            }
-            for (int i = 0; i < 1500; ++i) c.sendResp({"00000000000fffff", word, "minted=1", "stray"});
-        }
-    };
-    Peer first(script), second(script);
-    Program program(
-        configuration(fleet.with({host("cache-1", first.address()), host("cache-2", second.address())})));
+    SpoiltOnce stores([word](Connection& c, const std::vector<std::string>&) {
+        for (int i = 0; i < 1500; ++i) c.sendResp({"00000000000fffff", word, "minted=1", "stray"});
+    });
+    Program program(stores.settings(fleet));
     Connection client(program.port());
     call(client, "1", kKey, "checkout");
     assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "whole"}));
