--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -67,6 +67,11 @@
         ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     }
     void shut() { ::shutdown(fd_, SHUT_RDWR); }
+    // Reads wait so long at most; what has not come by then counts as never.
+    void waitAtMost(std::chrono::seconds time) {
+        const timeval limit{time.count(), 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
     void shutSending() { ::shutdown(fd_, SHUT_WR); }
 
     // An empty answer: the peer has closed.
