Try failing accepts again, and send on after a short write, so that no request is left

Cause: Listener::ready took any error but ENFILE and EMFILE for an empty queue, and closed a connection unread at those two; Stream::writeIfRoom queued what a short write had left and waited for an edge that never comes. Change: src/net/listener.cpp (split off stream.cpp) goes on at once where the error is one connection's own, and after 5 ms where memory or descriptors are short; a connection is closed unread only after 0.5 s without a descriptor. A short write is followed by the next.

--- a/src/agent/supervisor.hpp
+++ b/src/agent/supervisor.hpp
@@ -8,8 +8,8 @@
 #include <optional>
 #include <string>
 
+#include "../net/listener.hpp"
 #include "../net/loop.hpp"
-#include "../net/stream.hpp"
 #include "state.hpp"
 
 namespace lotuslead::agent {
--- a/src/gateway/meeting.hpp
+++ b/src/gateway/meeting.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "../net/listener.hpp"
 #include "../net/loop.hpp"
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
--- a/src/net/calls.hpp
+++ b/src/net/calls.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "http.hpp"
+#include "listener.hpp"
 #include "loop.hpp"
 #include "stream.hpp"
 
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,150 @@
+#include "listener.hpp"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+#include <utility>
+
+#include "address.hpp"
+#include "system_errors.hpp"
+
+namespace lotuslead::net {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Then those are read that have just come: where places are short, who has asked must be known before the
+// next ones come.
+constexpr int kAcceptsATurn = 8;
+constexpr Micros kAcceptAgain = 5ms;     // after a shortage
+constexpr Micros kShortForLong = 500ms;  // of descriptors: whoever waits is told by a close
+constexpr int kBacklog = 1024;
+
+// accept(2): the connection has failed before it was taken; the next one is not concerned.
+bool concernsOneConnection(int error) {
+    switch (error) {
+        case ECONNABORTED:
+        case EPROTO:
+        case EPERM:
+        case ENETDOWN:
+        case ENOPROTOOPT:
+        case EHOSTDOWN:
+        case ENONET:
+        case EHOSTUNREACH:
+        case EOPNOTSUPP:
+        case ENETUNREACH:
+        case ETIMEDOUT:
+            return true;
+        default:
+            return false;
+    }
+}
+
+}  // namespace
+
+Descriptor listenOn(const settings::Endpoint& at) {
+    Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    const sockaddr_in address = addressOf(at);
+    if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        ::listen(fd.get(), kBacklog) != 0)
+        throw std::system_error(errno, std::generic_category(),
+                                "cannot listen on " + at.host + ":" + std::to_string(at.port));
+    return fd;
+}
+
+Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at) {
+    int fd = -1;
+    const auto read = std::from_chars(number.data(), number.data() + number.size(), fd);
+    if (read.ec != std::errc{} || read.ptr != number.data() + number.size() || fd < 0)
+        throw settings::Malformed("'" + number + "' is no descriptor");
+    int listens = 0, kind = 0;
+    socklen_t size = sizeof listens;
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
+        ::getsockopt(fd, SOL_SOCKET, SO_TYPE, &kind, &size) != 0 || kind != SOCK_STREAM)
+        throw settings::Malformed("descriptor " + number + " is no listening socket");
+    sockaddr_in is{};
+    const sockaddr_in wanted = addressOf(at);
+    size = sizeof is;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&is), &size) != 0 || is.sin_family != AF_INET ||
+        is.sin_addr.s_addr != wanted.sin_addr.s_addr || (at.port != 0 && is.sin_port != wanted.sin_port))
+        throw settings::Malformed("descriptor " + number + " does not listen on the field 'listen'");
+    // Without blocking for all that share it: who loses a connection to another process must not wait.
+    if (::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0 || ::fcntl(fd, F_SETFL, O_NONBLOCK) != 0)
+        throw settings::Malformed("descriptor " + number + " cannot be set up");
+    return Descriptor(fd);
+}
+
+Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted, Priority priority)
+    : Listener(loop, listenOn(at), std::move(accepted), priority) {}
+
+Listener::Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority)
+    : loop_(loop),
+      fd_(std::move(listening)),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      accepted_(std::move(accepted)),
+      id_(loop_.add(fd_.get(), EPOLLIN, *this, priority)) {}
+
+Listener::~Listener() {
+    if (retry_) loop_.cancel(*retry_);
+    loop_.remove(id_, fd_.get());
+}
+
+std::uint16_t Listener::port() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+std::uint32_t Listener::ready(std::uint32_t) {
+    bool any = false;
+    for (int i = 0; i < kAcceptsATurn; ++i) {
+        Descriptor fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (fd) {
+            any = true;
+            shortSince_.reset();
+            accepted_(std::move(fd));
+            continue;
+        }
+        const int error = errno;
+        if (wouldBlock(error)) return 0;  // the edge is used up
+        ++counters_.failures;
+        if (error == EINTR || concernsOneConnection(error)) continue;
+        return isDescriptorShortage(error) ? descriptorsAreShort() : retryLater();
+    }
+    // Where each call fails, at once would be a busy loop.
+    return any ? EPOLLIN : retryLater();
+}
+
+// What waits makes no further edge.
+std::uint32_t Listener::retryLater() {
+    if (!retry_)
+        retry_ = loop_.after(kAcceptAgain, [this] {
+            retry_.reset();
+            loop_.again(id_, EPOLLIN);
+        });
+    return 0;
+}
+
+std::uint32_t Listener::descriptorsAreShort() {
+    if (!shortSince_) shortSince_ = loop_.now();
+    if (loop_.now() - *shortSince_ >= kShortForLong) closeOneUnread();
+    return retryLater();
+}
+
+void Listener::closeOneUnread() {
+    spare_.reset();
+    Descriptor surplus(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (surplus) ++counters_.closedUnread;
+    surplus.reset();
+    spare_.reset(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+}
+
+}  // namespace lotuslead::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,7 +1,5 @@
 #include "stream.hpp"
 
-#include <arpa/inet.h>
-#include <fcntl.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,10 +11,11 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
-#include <system_error>
 #include <utility>
 
+#include "address.hpp"
+#include "system_errors.hpp"
+
 namespace lotuslead::net {
 
 using namespace std::chrono_literals;
@@ -27,19 +26,8 @@
 constexpr std::size_t kMostDropped = 256 * 1024;  // of what comes in after the end
 constexpr Micros kNotTaken = 3s;                  // then nobody reads what a connection that ends still has
 constexpr int kReadsATurn = 4;                    // then the others have their turn
-// Then those are read that have just come: where places are short, who has asked must be known before the
-// next ones come.
-constexpr int kAcceptsATurn = 8;
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
 
-sockaddr_in addressOf(const settings::Endpoint& endpoint) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    ::inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
-    return address;
-}
-
 void noDelay(int fd) {
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -166,6 +154,7 @@
     headSent_ = static_cast<std::size_t>(sent);
     unsent_ = bytes.size() - headSent_;
     queue_.push_back(std::move(bytes));
+    flush();  // a short write is no word of a full buffer: the next edge may never come
     return true;
 }
 
@@ -277,75 +266,4 @@
     return EPOLLIN;
 }
 
-Descriptor listenOn(const settings::Endpoint& at) {
-    Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const int on = 1;
-    const sockaddr_in address = addressOf(at);
-    if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-        ::listen(fd.get(), 1024) != 0)
-        throw std::system_error(errno, std::generic_category(),
-                                "cannot listen on " + at.host + ":" + std::to_string(at.port));
-    return fd;
-}
-
-Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at) {
-    int fd = -1;
-    const auto read = std::from_chars(number.data(), number.data() + number.size(), fd);
-    if (read.ec != std::errc{} || read.ptr != number.data() + number.size() || fd < 0)
-        throw settings::Malformed("'" + number + "' is no descriptor");
-    int listens = 0, kind = 0;
-    socklen_t size = sizeof listens;
-    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
-        ::getsockopt(fd, SOL_SOCKET, SO_TYPE, &kind, &size) != 0 || kind != SOCK_STREAM)
-        throw settings::Malformed("descriptor " + number + " is no listening socket");
-    sockaddr_in is{};
-    const sockaddr_in wanted = addressOf(at);
-    size = sizeof is;
-    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&is), &size) != 0 || is.sin_family != AF_INET ||
-        is.sin_addr.s_addr != wanted.sin_addr.s_addr || (at.port != 0 && is.sin_port != wanted.sin_port))
-        throw settings::Malformed("descriptor " + number + " does not listen on the field 'listen'");
-    // Without blocking for all that share it: who loses a connection to another process must not wait.
-    if (::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0 || ::fcntl(fd, F_SETFL, O_NONBLOCK) != 0)
-        throw settings::Malformed("descriptor " + number + " cannot be set up");
-    return Descriptor(fd);
-}
-
-Listener::Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted, Priority priority)
-    : Listener(loop, listenOn(at), std::move(accepted), priority) {}
-
-Listener::Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority)
-    : loop_(loop),
-      fd_(std::move(listening)),
-      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
-      accepted_(std::move(accepted)),
-      id_(loop_.add(fd_.get(), EPOLLIN, *this, priority)) {}
-
-Listener::~Listener() { loop_.remove(id_, fd_.get()); }
-
-std::uint16_t Listener::port() const {
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    ::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    return ntohs(address.sin_port);
-}
-
-std::uint32_t Listener::ready(std::uint32_t) {
-    for (int i = 0; i < kAcceptsATurn; ++i) {
-        Descriptor fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (fd) {
-            accepted_(std::move(fd));
-            continue;
-        }
-        if (errno == EINTR || errno == ECONNABORTED) continue;
-        if (errno != EMFILE && errno != ENFILE) return 0;  // EAGAIN: the edge is used up
-        // Left in the backlog it would make no further edge: it is taken and closed.
-        spare_.reset();
-        Descriptor surplus(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
-        surplus.reset();
-        spare_.reset(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-    }
-    return EPOLLIN;
-}
-
 }  // namespace lotuslead::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -85,33 +85,4 @@
     Loop::TimerKey timer_{};
 };
 
-Descriptor listenOn(const settings::Endpoint& at);  // throws std::system_error
-
-// A listening socket that was inherited; throws settings::Malformed, with the reason alone, where the
-// descriptor is not one or has another address (port 0 stands for any).
-Descriptor inheritedListener(const std::string& number, const settings::Endpoint& at);
-
-// Accepts connections until EAGAIN, and goes on when descriptors run out.
-class Listener : public Handler {
-public:
-    using Accepted = std::function<void(Descriptor)>;
-    Listener(Loop& loop, const settings::Endpoint& at, Accepted accepted,
-             Priority priority = Priority::usual);
-    // One that listens already. Other processes may share it: a connection that was there may be gone, and it
-    // is only ever closed, never shut down.
-    Listener(Loop& loop, Descriptor listening, Accepted accepted, Priority priority = Priority::usual);
-    ~Listener() override;
-    std::uint16_t port() const;
-    // Takes in connections that wait; false: there may be more.
-    bool takeWaiting() { return ready(EPOLLIN) == 0; }
-    std::uint32_t ready(std::uint32_t events) override;
-
-private:
-    Loop& loop_;
-    Descriptor fd_;
-    Descriptor spare_;  // given up for a moment to accept and close when no descriptor is left
-    Accepted accepted_;
-    Loop::HandlerId id_ = 0;
-};
-
 }  // namespace lotuslead::net
--- /dev/null
+++ b/src/net/system_errors.hpp
@@ -0,0 +1,19 @@
+// What an errno means for whoever has to decide whether the same call is worth another try.
+#pragma once
+
+#include <cerrno>
+
+namespace lotuslead::net {
+
+// Memory or descriptors of this machine are short. Nothing has happened, and the same call may succeed in a
+// moment; no edge of epoll tells when.
+inline bool isShortage(int error) {
+    return error == ENOBUFS || error == ENOMEM || error == EMFILE || error == ENFILE;
+}
+
+inline bool isDescriptorShortage(int error) { return error == EMFILE || error == ENFILE; }
+
+// A non-blocking call has done all there was to do.
+inline bool wouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+
+}  // namespace lotuslead::net
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "../core/requests.hpp"
+#include "../net/listener.hpp"
 #include "../net/loop.hpp"
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -9,6 +9,7 @@
 
 #include "../core/requests.hpp"
 #include "../net/http.hpp"
+#include "../net/listener.hpp"
 #include "../net/loop.hpp"
 #include "../net/stream.hpp"
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 
+#include "net/listener.hpp"
 #include "net/loop.hpp"
 #include "net/stream.hpp"
 
