Show by failing tests that changes, a failed successor or fork leave an instance behind

Cause: found by reading src/agent/supervisor.cpp for crossings. want() stops an instance whose revision differs and that can't be replaced now; it can't while a successor is starting, so any change of the tree then ends both processes. A successor that ends, and a fork that fails, are followed by nothing.

--- /dev/null
+++ b/tests/agent_changes_test.cpp
@@ -0,0 +1,151 @@
+// Replacements of a gateway's process that other events cross: further changes, a successor that fails, a
+// fork that fails.
+#include "agents.hpp"
+#include "faults.hpp"
+#include "moments.hpp"
+
+namespace {
+
+using namespace lotuslead::testing;
+
+constexpr auto kCheckWithin = 1s;  // no gap is as long
+constexpr auto kBetweenChecks = 20ms;
+constexpr const char* kFirstDoor = ":15000";
+constexpr int kSecondDoorPort = 15001;
+
+std::uint16_t freePort() { return Peer(nullptr).port(); }
+
+// Asks for the gateway's health, each time on a new connection, until it is ended.
+class HealthChecks {
+public:
+    explicit HealthChecks(std::uint16_t port) : port_(port), thread_([this] { run(); }) {}
+    ~HealthChecks() { end(); }
+    int unanswered() {
+        end();
+        return unanswered_;
+    }
+    int answered() const { return answered_; }
+
+private:
+    void run() {
+        while (!over_) {
+            Connection client(port_);
+            client.waitAtMost(kCheckWithin);
+            client.sendResp({"CHECK", "1", ""});
+            ++(client.readResp().empty() ? unanswered_ : answered_);
+            std::this_thread::sleep_for(kBetweenChecks);
+        }
+    }
+    void end() {
+        over_ = true;
+        if (thread_.joinable()) thread_.join();
+    }
+
+    std::uint16_t port_;
+    std::atomic<bool> over_{false};
+    std::atomic<int> answered_{0}, unanswered_{0};
+    std::thread thread_;
+};
+
+struct Instance {
+    explicit Instance(const Agents& agents, const std::vector<json>& stores = {})
+        : agents_(agents), port(freePort()) {
+        settings = configuration(stores);
+        settings["operator"] = agents.host() + kFirstDoor;
+        settings["listen"] = "127.0.0.1:" + std::to_string(port);
+    }
+    void put(int megabytes) {
+        settings["limits"]["memory_mb"] = megabytes;
+        assert(agents_.ctl("put gate-1 2 " + agents_.file("gate.json", settings)) == "agreed\n");
+    }
+    json status() const { return agents_.status(2)["instances"].value("gate-1", json::object()); }
+    void awaitRunning(int notPid = 0) const {
+        agents_.await(2, [&](const json& s) {
+            const json gate = s["instances"].value("gate-1", json::object());
+            return gate.value("phase", "") == "running" && gate.value("pid", 0) != notPid;
+        });
+    }
+    void awaitReady() const {
+        for (int i = 0; i < kPatience * 20; ++i, std::this_thread::sleep_for(50ms))
+            if (agents_.ctl("ready gate-1", 2) == "serving\n") return;
+        std::abort();
+    }
+
+    const Agents& agents_;
+    std::uint16_t port;
+    json settings;
+};
+
+// A change of another instance, or of the same one, while a successor starts and the old process drains.
+void aChangeDuringAReplacementLeavesNoGap() {
+    Agents agents;
+    agents.awaitLeader();
+    Mark pulled, may;
+    Fleet fleet;
+    Peer slow(store(servingWhenTold(pulled, may, "bytes")));
+    Instance gate(agents, fleet.with({host("cache-1", slow.address())}));
+    gate.put(192);
+    gate.awaitReady();
+    const int pid = gate.status()["pid"];
+    Connection client(gate.port);
+    call(client, "1");  // the old process stays until this is answered
+    pulled.await(1);
+    HealthChecks checks(gate.port);
+    gate.put(96);
+    const std::string other = agents.file("other.json", configuration({}));
+    for (int i = 1; i <= 3; ++i)
+        assert(agents.ctl("put other-" + std::to_string(i) + " 1 " + other) == "agreed\n");
+    gate.put(128);
+    gate.put(160);
+    std::this_thread::sleep_for(2s);
+    may.raise();
+    assert((client.readResp() == std::vector<std::string>{"1", "SERVED", "-", "bytes"}));
+    gate.awaitRunning(pid);
+    gate.awaitReady();
+    std::this_thread::sleep_for(1s);
+    const int unanswered = checks.unanswered();
+    std::fprintf(stderr, "%d checks answered, %d not\n", checks.answered(), unanswered);
+    assert(unanswered == 0 && checks.answered() > 0);
+    assert(gate.status()["restarts"] == 0);
+}
+
+// The configuration that was agreed on comes into force though its first process could not start.
+void aSuccessorThatEndsIsStartedAgain() {
+    Agents agents;
+    agents.awaitLeader();
+    Instance gate(agents);
+    gate.put(192);
+    gate.awaitReady();
+    const int pid = gate.status()["pid"];
+    const std::uint64_t before = gate.status()["revision"];
+    {
+        // The successor's door is taken: it ends.
+        Listening taken(agents.host(), kSecondDoorPort);
+        gate.put(96);
+        agents.awaitLog(2, "the successor of gate-1 has ended");
+    }
+    gate.awaitRunning(pid);
+    assert(gate.status()["revision"] > before);
+    gate.awaitReady();
+}
+
+void aForkThatFailsIsTriedAgain() {
+    Agents agents(faultVariables("fork=EAGAIN:1:1:1"));
+    agents.awaitLeader();
+    Instance gate(agents);
+    gate.put(192);
+    gate.awaitRunning();
+    gate.awaitReady();
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+    const Story stories[] = {
+        {"change-during-replacement", aChangeDuringAReplacementLeavesNoGap},
+        {"successor-ends", aSuccessorThatEndsIsStartedAgain},
+        {"fork-fails", aForkThatFailsIsTriedAgain},
+    };
+    playStories(stories, count, words);
+    return 0;
+}
