Let a replacement end before the next begins, and try failed successors and forks again

Cause: Supervisor::want stopped an instance whose revision differed while its successor was starting, which was so after any change of the tree; a successor that ended and a fork that failed were followed by nothing. The instance's file is written whole or not at all, and a failed write counts as a failed start.

--- a/src/agent/supervisor.cpp
+++ b/src/agent/supervisor.cpp
@@ -26,6 +26,18 @@
                       kAnswers = 1s;  // of a successor
 constexpr net::Micros kWell = 10s;    // having run so long, it starts again without a pause
 
+// Under another name first: a process that reads it finds the old content or the new.
+bool writeWhole(const std::string& path, const std::string& content) {
+    const std::string fresh = path + ".new";
+    {
+        std::ofstream file(fresh, std::ios::trunc);
+        file << content;
+        file.close();
+        if (!file) return false;
+    }
+    return std::rename(fresh.c_str(), path.c_str()) == 0;
+}
+
 }  // namespace
 
 void Supervisor::want(const std::map<std::string, Instance>& all, std::uint64_t self) {
@@ -39,10 +51,7 @@
         const bool isNew = processes_.count(name) == 0;
         Process& process = processes_[name];
         process.wanted = instance;
-        if (isNew)
-            start(name, process);
-        else if (process.runs != instance.revision && !replace(name))
-            stop(process);  // the new one starts when the old one has drained
+        isNew ? start(name, process) : reconcile(name, process);
     }
     std::erase_if(processes_, [](const auto& entry) { return !entry.second.keep && entry.second.pid == 0; });
 }
@@ -55,12 +64,43 @@
     std::erase_if(processes_, [](const auto& entry) { return entry.second.pid == 0; });
 }
 
+// Brings what runs in line with what is wanted. Where something is under way already it does nothing:
+// whatever ends that calls it again.
+void Supervisor::reconcile(const std::string& name, Process& process) {
+    const bool busy = process.pid == 0 || process.stopping || process.successor != 0 || process.timer;
+    if (busy || process.runs == process.wanted.revision) return;
+    switch (beginReplacement(name, process)) {
+        case Replacement::begun:
+            return;
+        case Replacement::failed:
+            return tryAgainLater(name, process);
+        case Replacement::impossible:
+            return stop(process);  // the new one starts when the old one has drained
+    }
+}
+
+// With pauses that grow, so that a configuration that can't be started is no busy loop.
+void Supervisor::tryAgainLater(const std::string& name, Process& process) {
+    process.pause = std::clamp(2 * process.pause, kFirstPause, kLongestPause);
+    attendAfter(process.pause, name, process);
+}
+
+void Supervisor::attendAfter(net::Micros pause, const std::string& name, Process& process) {
+    if (process.timer) loop_.cancel(*process.timer);
+    process.timer = loop_.after(pause, [this, name] {
+        Process& again = processes_.at(name);
+        again.timer.reset();
+        again.pid == 0 ? start(name, again) : reconcile(name, again);
+    });
+}
+
 void Supervisor::start(const std::string& name, Process& process) {
     process.runs = process.wanted.revision;
     process.stopping = false;
     process.startedAt = loop_.now();
     process.door = settings::readConfiguration(process.wanted.configuration).operatorDoor;
     process.pid = std::max<pid_t>(spawn(name, process, process.door), 0);
+    if (process.pid == 0) tryAgainLater(name, process);
 }
 
 void Supervisor::hold(const std::string& name, Process& process, const settings::Endpoint& at) {
@@ -78,9 +118,12 @@
                         const std::optional<settings::Endpoint>& door) {
     hold(name, process, settings::readConfiguration(process.wanted.configuration).listen);
     const std::string base = folder_ + "/" + name;
-    std::ofstream(base + ".json", std::ios::trunc) << process.wanted.configuration;
     // All that the child needs is made before the fork.
     const std::string setting = base + ".json", log = base + ".log", meeting = base + ".tmp";
+    if (!writeWhole(setting, process.wanted.configuration)) {
+        std::fprintf(stderr, "agent: cannot start %s: its configuration cannot be written\n", name.c_str());
+        return -1;
+    }
     ::mkdir(meeting.c_str(), 0700);
     const std::string at = door ? door->host + ":" + std::to_string(door->port) : "";
     constexpr int kSocket = 5;
@@ -120,17 +163,22 @@
     const auto found = processes_.find(name);
     if (found == processes_.end()) return false;
     Process& process = found->second;
+    if (process.pid == 0 || process.stopping || process.successor != 0) return false;
+    return beginReplacement(name, process) == Replacement::begun;
+}
+
+// Of an instance that runs, and is neither stopping nor being replaced.
+Supervisor::Replacement Supervisor::beginReplacement(const std::string& name, Process& process) {
     const auto configured = settings::readConfiguration(process.wanted.configuration).operatorDoor;
-    if (process.pid == 0 || process.stopping || process.successor != 0 || !process.door || !configured)
-        return false;
+    if (!process.door || !configured) return Replacement::impossible;
     process.nextDoor = configured;
-    if (*process.door == *configured && ++process.nextDoor->port == 0) return false;
+    if (*process.door == *configured && ++process.nextDoor->port == 0) return Replacement::impossible;
     process.successorRuns = process.wanted.revision;
     process.successorServes = false;
     process.successor = std::max<pid_t>(spawn(name, process, process.nextDoor), 0);
-    if (process.successor == 0) return false;
+    if (process.successor == 0) return Replacement::failed;
     awaitReady(name, process.successor, loop_.now() + kReadyWithin);
-    return true;
+    return Replacement::begun;
 }
 
 void Supervisor::awaitReady(const std::string& name, pid_t successor, net::Micros until) {
@@ -158,12 +206,12 @@
 
 // The old process has ended. Where the successor does not serve yet it will, or
 // ends and is started again.
-void Supervisor::promote(const std::string& name, Process& process) {
+void Supervisor::promote(Process& process) {
     process.pid = std::exchange(process.successor, 0);
     process.runs = process.successorRuns;
     process.door = process.nextDoor;
     process.startedAt = loop_.now();
-    if (process.runs != process.wanted.revision && !replace(name)) stop(process);
+    process.pause = {};
 }
 
 std::optional<settings::Endpoint> Supervisor::door(const std::string& name) const {
@@ -192,15 +240,16 @@
         auto& [name, process] = *found;
         if (process.successor == pid) {
             process.successor = 0;
-            if (!process.stopping)
-                std::fprintf(stderr, "agent: the successor of %s has ended, the old process goes on\n",
-                             name.c_str());
+            if (process.stopping) continue;
+            std::fprintf(stderr, "agent: the successor of %s has ended, the old process goes on\n",
+                         name.c_str());
+            if (process.runs != process.wanted.revision) tryAgainLater(name, process);
             continue;
         }
         if (process.successor != 0) {
             const bool stopping = std::exchange(process.stopping, false);
-            promote(name, process);
-            if (stopping) stop(process);
+            promote(process);
+            stopping ? stop(process) : reconcile(name, process);
             continue;
         }
         const bool told = process.stopping;
@@ -219,11 +268,7 @@
             process.pause = well ? kFirstPause : std::clamp(2 * process.pause, kFirstPause, kLongestPause);
             pause = process.pause;
         }
-        process.timer = loop_.after(pause, [this, key = name] {
-            Process& again = processes_.at(key);
-            again.timer.reset();
-            start(key, again);
-        });
+        attendAfter(pause, name, process);
     }
 }
 
--- a/src/agent/supervisor.hpp
+++ b/src/agent/supervisor.hpp
@@ -57,11 +57,21 @@
         std::optional<net::Loop::TimerKey> timer;
     };
 
+    enum class Replacement {
+        begun,
+        failed,      // no process was to be had; it may be tried again
+        impossible,  // without an operators' door nobody tells when the successor serves
+    };
+
+    void reconcile(const std::string& name, Process& process);
+    void tryAgainLater(const std::string& name, Process& process);
+    void attendAfter(net::Micros pause, const std::string& name, Process& process);
+    Replacement beginReplacement(const std::string& name, Process& process);
     void start(const std::string& name, Process& process);
     pid_t spawn(const std::string& name, Process& process, const std::optional<settings::Endpoint>& door);
     void hold(const std::string& name, Process& process, const settings::Endpoint& at);
     void awaitReady(const std::string& name, pid_t successor, net::Micros until);
-    void promote(const std::string& name, Process& process);
+    void promote(Process& process);
     void stop(Process& process);
 
     net::Loop& loop_;
