Show by failing tests that a failing folder or a late clock brings purged copies back

Cause: found by reading src/disk for what follows a failed call. Once the purge log was renamed into place and only the sync of its folder failed, the log in use stayed the replaced file: marks acknowledged from then on were gone after a restart. A floor, which drops what can't be proved, went by the wall clock alone, so copies dated after it came back. A call that failed once at the start left the tier off for good.

--- a/tests/disk_desk.hpp
+++ b/tests/disk_desk.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,8 +36,18 @@
         faults_[names] = faults;
         changed_.notify_all();
     }
+    // An errno for each sync of a folder, as against one of a file in it; zero: none.
+    void failFolderSyncs(int error) {
+        const std::lock_guard lock(mutex_);
+        folderSync_ = error;
+    }
+    int failedFolderSyncs() {
+        const std::lock_guard lock(mutex_);
+        return failedFolderSyncs_;
+    }
     void clear() {
         const std::lock_guard lock(mutex_);
+        folderSync_ = 0;
         faults_.clear();
         changed_.notify_all();
     }
@@ -50,6 +61,8 @@
         if (opened.error == 0) {
             const std::lock_guard lock(mutex_);
             paths_[static_cast<int>(opened.bytes)] = path;
+            folders_.erase(static_cast<int>(opened.bytes));
+            if ((flags & O_DIRECTORY) != 0) folders_.insert(static_cast<int>(opened.bytes));
         }
         return opened;
     }
@@ -75,6 +88,10 @@
     }
     int sync(int fd) override {
         const std::lock_guard lock(mutex_);
+        if (folderSync_ != 0 && folders_.count(fd) > 0) {
+            ++failedFolderSyncs_;
+            return folderSync_;
+        }
         if (Faults* f = of(paths_[fd]); f && f->sync) return f->sync;
         return 0;  // the page cache outlives what these tests do
     }
@@ -96,6 +113,8 @@
     std::condition_variable changed_;
     std::map<std::string, Faults> faults_;
     std::map<int, std::string> paths_;
+    std::set<int> folders_;
+    int folderSync_ = 0, failedFolderSyncs_ = 0;
 };
 
 class TemporaryFolder {
--- /dev/null
+++ b/tests/disk_faults_test.cpp
@@ -0,0 +1,82 @@
+// The disk tier where its folder fails for a while, and where the machine's clock is behind: purges that were
+// taken on hold after a restart.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+#include "disk_desk.hpp"
+
+namespace lotuslead::disk {
+namespace {
+
+using Faults = FaultyFiles::Faults;
+
+constexpr int kPurgesUntilRewritten = 20'000;
+constexpr std::chrono::milliseconds kAllRewritten{500};
+
+// The log is written anew under another name, renamed, and only the sync of the folder fails: what comes next
+// must not go to the file that the new one has replaced.
+TEST(DiskFaults, PurgesLastThoughTheFolderOfANewLogCannotBeSynced) {
+    TemporaryFolder folder;
+    TierRules rules = rulesFor(folder);
+    rules.mostMarks = 600;
+    {
+        FaultyFiles files;
+        Desk desk(rules, &files);
+        for (int i = 0; i < 12; ++i) ASSERT_TRUE(desk.store(i, 1000));
+        files.failFolderSyncs(EIO);
+        for (int i = 0; i < kPurgesUntilRewritten; ++i)
+            desk.tier.purgeObject("/files/x" + std::to_string(i % 500), 1000);
+        ASSERT_TRUE(desk.until([&] { return files.failedFolderSyncs() > 0; }));
+        // No log that is written anew after this hides what became of the last one.
+        std::this_thread::sleep_for(kAllRewritten);
+        desk.tier.turn(desk.now);
+        files.clear();
+        ASSERT_TRUE(desk.until([&] { return desk.tier.kept(); }));
+        desk.tier.purgeObject("/files/8", 1000);
+        ASSERT_TRUE(desk.until([&] { return desk.tier.kept(); }));
+    }
+    Desk desk(rules);
+    for (int i = 0; i < 12; ++i) EXPECT_EQ(desk.has(i, 1000), i != 8) << i;
+}
+
+TEST(DiskFaults, AFolderThatFailsForAMomentAtTheStartIsTriedAgain) {
+    for (const Faults& faults : {Faults{.open = EIO}, Faults{.open = ENFILE}, Faults{.write = ENOSPC}}) {
+        for (const char* file : {"lock", "format", "purges"}) {
+            if (faults.write != 0 && std::string(file) == "lock") continue;  // nothing is written to it
+            TemporaryFolder folder;
+            FaultyFiles files;
+            files.set(file, faults);
+            Desk desk(rulesFor(folder), &files, false);
+            ASSERT_TRUE(desk.until([&] { return !desk.lines.empty(); }));
+            files.clear();
+            desk.tier.tryAgain();
+            ASSERT_TRUE(desk.until([&] { return desk.tier.state() == Tier::State::ready; })) << file;
+            EXPECT_TRUE(desk.store(1, 1000));
+        }
+    }
+}
+
+// What can't be proved is dropped for good, also where the wall clock is behind the one that dated it.
+TEST(DiskFaults, AClockThatIsBehindLeavesNothingUnproved) {
+    constexpr std::int64_t kMinted = 1'000'000, kBehind = 100'000;
+    TemporaryFolder folder;
+    {
+        Desk desk(rulesFor(folder));
+        ASSERT_TRUE(desk.store(1, kMinted));
+    }
+    std::filesystem::remove(folder.tier() + "/purges");
+    Desk desk(rulesFor(folder), nullptr, false);
+    desk.now.unixMs = kMinted - kBehind;
+    ASSERT_TRUE(desk.until([&] { return desk.tier.state() == Tier::State::ready; }));
+    EXPECT_TRUE(desk.logged("the purge log is damaged"));
+    desk.now.unixMs = kMinted + kBehind;
+    EXPECT_FALSE(desk.load(1));
+    EXPECT_TRUE(desk.store(2, kMinted + kBehind));
+    EXPECT_TRUE(desk.has(2, kMinted + kBehind));
+}
+
+}  // namespace
+}  // namespace lotuslead::disk
