Keep purges where the folder of a new log cannot be synced, and floors over late clocks

Cause: PurgeLog::rewrite left the replaced file in use when only the folder's sync failed behind the rename; Tier::raiseFloor went by the wall clock alone; OpenedFolder knew no problem that passes. Change: the new file is used from the rename on, and no mark is acknowledged until the folder is synced; a floor reaches the latest date of all that is held, on its way or still loading; what may pass (EIO, ENOSPC, EDQUOT, no descriptor, no memory) is tried again each second.

--- a/src/disk/folder.cpp
+++ b/src/disk/folder.cpp
@@ -55,49 +55,69 @@
     return what + " " + path + ": " + std::strerror(error);
 }
 
+bool mayPass(int error) {
+    switch (error) {
+        case EIO:
+        case ENOSPC:
+        case EDQUOT:
+        case EMFILE:
+        case ENFILE:
+        case ENOMEM:
+        case EINTR:
+        case EAGAIN:
+            return true;
+        default:
+            return false;
+    }
+}
+
+Folder::Opened Folder::failed(const std::string& what, const std::string& path, int error) {
+    return {problemOf(what, path, error), false, mayPass(error)};
+}
+
 Folder::Opened Folder::open(Access access) {
-    if (access == Access::read) return {checkFormat(access), false};
-    if (::mkdir(path_.c_str(), 0750) != 0 && errno != EEXIST) return {problemOf("make", path_, errno), false};
+    if (access == Access::read) return checkFormat(access);
+    if (::mkdir(path_.c_str(), 0750) != 0 && errno != EEXIST) return failed("make", path_, errno);
     const std::string lockPath = pathOf("lock");
     const IoResult opened = calls_.open(lockPath, O_RDWR | O_CREAT);
-    if (opened.error != 0) return {problemOf("open", lockPath, opened.error), false};
+    if (opened.error != 0) return failed("open", lockPath, opened.error);
     File lock(static_cast<int>(opened.bytes));
     if (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
-        if (errno != EWOULDBLOCK) return {problemOf("lock", lockPath, errno), false};
+        if (errno != EWOULDBLOCK) return failed("lock", lockPath, errno);
         return {"another process holds " + path_, true};
     }
-    if (Problem problem = checkFormat(access); !problem.empty()) return {std::move(problem), false};
+    if (Opened checked = checkFormat(access); !checked.problem.empty()) return checked;
     lock_ = std::move(lock);
     return {};
 }
 
-Problem Folder::checkFormat(Access access) {
+Folder::Opened Folder::checkFormat(Access access) {
     const std::string path = pathOf("format");
     const IoResult opened = calls_.open(path, O_RDONLY);
     if (opened.error == 0) {
         const File file(static_cast<int>(opened.bytes));
         std::string text(64, '\0');
         const IoResult read = readAll(calls_, file.get(), text, 0);
-        if (read.error != 0) return problemOf("read", path, read.error);
+        if (read.error != 0) return failed("read", path, read.error);
         text.resize(read.bytes);
         if (text == kFormat) return {};
         // A crash right after the first start leaves it short; there is nothing else in the folder then.
         if (!(kFormat.starts_with(text) && access == Access::write && segments().empty()))
-            return path_ + " has a form that this version does not know";
+            return {path_ + " has a form that this version does not know"};
     } else if (opened.error != ENOENT) {
-        return problemOf("open", path, opened.error);
+        return failed("open", path, opened.error);
     } else if (access == Access::read) {
-        return path_ + " is no folder of a disk tier";
+        return {path_ + " is no folder of a disk tier"};
     } else if (!segments().empty()) {
-        return path_ + " has segments but no file 'format'";
+        return {path_ + " has segments but no file 'format'"};
     }
     const IoResult made = calls_.open(path, O_WRONLY | O_CREAT);
-    if (made.error != 0) return problemOf("make", path, made.error);
+    if (made.error != 0) return failed("make", path, made.error);
     const File file(static_cast<int>(made.bytes));
     const IoResult written = writeAll(calls_, file.get(), kFormat, 0);
-    if (written.error != 0) return problemOf("write", path, written.error);
-    if (const int error = calls_.sync(file.get())) return problemOf("sync", path, error);
-    if (const int error = syncFolder()) return problemOf("sync", path_, error);
+    if (written.error != 0) return failed("write", path, written.error);
+    if (const int error = calls_.sync(file.get())) return failed("sync", path, error);
+    if (const int error = syncFolder()) return failed("sync", path_, error);
     return {};
 }
 
@@ -202,8 +222,12 @@
     const bool writes = access == Folder::Access::write;
     const IoResult opened = calls_.open(path, writes ? O_RDWR | O_CREAT : O_RDONLY);
     if (opened.error == ENOENT) return loaded;
+    const auto fail = [&](const char* what, int error) {
+        loaded.problem = problemOf(what, path, error);
+        loaded.tryAgain = mayPass(error);
+    };
     if (opened.error != 0) {
-        loaded.problem = problemOf("open", path, opened.error);
+        fail("open", opened.error);
         return loaded;
     }
     File file(static_cast<int>(opened.bytes));
@@ -211,7 +235,7 @@
     std::string bytes(size, '\0');
     const IoResult read = readAll(calls_, file.get(), bytes, 0);
     if (read.error != 0) {
-        loaded.problem = problemOf("read", path, read.error);
+        fail("read", read.error);
         return loaded;
     }
     for (bytes_ = 0; bytes_ + kMarkBytes <= read.bytes; bytes_ += kMarkBytes) {
@@ -225,8 +249,7 @@
     // A line that a crash left half-written was never acknowledged; more than that is damage.
     loaded.torn = read.bytes - bytes_ >= kMarkBytes;
     if (writes && bytes_ < size) {
-        const int error = calls_.truncate(file.get(), bytes_);
-        if (error != 0) loaded.problem = problemOf("cut", path, error);
+        if (const int error = calls_.truncate(file.get(), bytes_)) fail("cut", error);
     }
     if (writes) file_ = std::move(file);
     return loaded;
@@ -239,6 +262,7 @@
     const IoResult written = writeAll(calls_, file_.get(), bytes, bytes_);
     int error = written.error;
     if (error == 0) error = calls_.sync(file_.get());
+    if (error == 0) error = syncFolderIfDue();
     if (error != 0) {
         // What comes next begins where this began, so a half line is never followed by a whole one.
         (void)calls_.truncate(file_.get(), bytes_);
@@ -259,10 +283,18 @@
     if (written.error != 0) return written.error;
     if (const int error = calls_.sync(file.get())) return error;
     if (const int error = calls_.rename(fresh, path)) return error;
-    if (const int error = folder_.syncFolder()) return error;
+    // From here on the name leads to the new file: whatever fails now, the replaced one is not written again.
     file_ = std::move(file);
     bytes_ = bytes.size();
-    return 0;
+    folderSyncDue_ = true;
+    return syncFolderIfDue();
+}
+
+int PurgeLog::syncFolderIfDue() {
+    if (!folderSyncDue_) return 0;
+    const int error = folder_.syncFolder();
+    folderSyncDue_ = error != 0;
+    return error;
 }
 
 }  // namespace lotuslead::disk
--- a/src/disk/folder.hpp
+++ b/src/disk/folder.hpp
@@ -31,6 +31,9 @@
 // An error in words, with the path; empty: none.
 using Problem = std::string;
 Problem problemOf(const std::string& what, const std::string& path, int error);
+// Whether the same call may succeed later without anybody's doing: no room, a device that fails, no
+// descriptor.
+bool mayPass(int error);
 
 class Folder {
 public:
@@ -38,10 +41,11 @@
 
     Folder(FileCalls& calls, std::string path) : calls_(calls), path_(std::move(path)) {}
 
-    // `busy`: another process holds it; it may be tried again.
     struct Opened {
         Problem problem;
-        bool busy = false;
+        bool busy = false;     // another process holds it
+        bool passing = false;  // it fails for a while
+        bool tryAgain() const { return busy || passing; }
     };
     [[nodiscard]] Opened open(Access access);
     void close() { lock_ = File(); }
@@ -64,7 +68,8 @@
     [[nodiscard]] Problem removeSegment(const SegmentName& name);
 
 private:
-    Problem checkFormat(Access access);
+    Opened checkFormat(Access access);
+    static Opened failed(const std::string& what, const std::string& path, int error);
 
     FileCalls& calls_;
     std::string path_;
@@ -81,19 +86,24 @@
         std::optional<std::int64_t> position;  // of the bus; none: no event of a bus was ever applied here
         bool torn = false;  // it ends in the middle, or is not as it was written: marks may be missing
         Problem problem;
+        bool tryAgain = false;  // the problem may pass
     };
     [[nodiscard]] Loaded load(Folder::Access access);
     // After this the marks are on disk. A half-written line is cut off again.
     [[nodiscard]] int append(const std::vector<Mark>& marks);
-    // Exactly these from now on.
+    // Exactly these from now on. Where only the folder can't be synced the new file holds all the same, and
+    // no mark is acknowledged before that has been made up for.
     [[nodiscard]] int rewrite(const std::vector<Mark>& marks);
     std::uint64_t lines() const { return bytes_ / kMarkBytes; }
 
 private:
+    [[nodiscard]] int syncFolderIfDue();
+
     FileCalls& calls_;
     Folder& folder_;
     File file_;
     std::uint64_t bytes_ = 0;
+    bool folderSyncDue_ = false;  // after a crash the name may still be the replaced file's
 };
 
 }  // namespace lotuslead::disk
--- a/src/disk/tier.cpp
+++ b/src/disk/tier.cpp
@@ -172,6 +172,7 @@
         return;
     }
     onTheWay_ += bytes;
+    noteMinted(copy.mintedMs);
 }
 
 // Parts of two versions must not meet in one download: where two have been seen, what is held of the one seen
@@ -294,9 +295,13 @@
 void Tier::raiseFloor(Moment now, const char* why) {
     ++counters_.floors;
     log(std::string("disk tier: what is held can't be proved newer than every purge (") + why + "), dropped");
-    mark({Mark::What::floor, 0, now.unixMs});
+    // The clock that dated a copy may be ahead of this machine's.
+    dropsLoading_ = dropsLoading_ || state_ == State::loading;
+    mark({Mark::What::floor, 0, std::max(now.unixMs, latestMintedMs_)});
 }
 
+void Tier::noteMinted(std::int64_t mintedMs) { latestMintedMs_ = std::max(latestMintedMs_, mintedMs); }
+
 void Tier::take(Moment, MarksKept& told) {
     const bool failed = !told.problem.empty();
     if (failed) ++counters_.logErrors;
@@ -312,9 +317,9 @@
 void Tier::take(Moment now, OpenedFolder& told) {
     if (state_ == State::closed) return;
     if (!told.problem.empty()) {
-        state_ = told.busy ? State::waiting : State::off;
+        state_ = told.tryAgain ? State::waiting : State::off;
         if (told.problem != problem_)
-            log("disk tier: " + told.problem + (told.busy ? "; it is tried again" : "; the tier is off"));
+            log("disk tier: " + told.problem + (told.tryAgain ? "; it is tried again" : "; the tier is off"));
         problem_ = told.problem;
         return;
     }
@@ -344,6 +349,8 @@
         ++counters_.cutTails;
         log("disk tier: " + segmentFile(told.name) + " ends in the middle of a record, which is dropped");
     }
+    for (const Part& part : told.parts) noteMinted(part.mintedMs);
+    if (dropsLoading_ && latestMintedMs_ > marks_.floorMs()) mark({Mark::What::floor, 0, latestMintedMs_});
     // Too few places in the index: what does not fit is dead, and goes with its segment.
     for (const Part& part : told.parts) shelf_.loaded(part, told.name.queue);
     shelf_.segmentLoaded(told.name.number, told.name.queue, told.bytes);
@@ -352,6 +359,7 @@
 void Tier::take(Moment, LoadedAll&) {
     if (state_ != State::loading) return;
     state_ = State::ready;
+    dropsLoading_ = false;
     sweeping_ = true;
     log("disk tier: " + std::to_string(shelf_.parts()) + " parts in " + std::to_string(shelf_.segments()) +
         " segments at " + rules_.folder);
--- a/src/disk/tier.hpp
+++ b/src/disk/tier.hpp
@@ -127,6 +127,7 @@
     void mark(const Mark& mark);
     void keep(std::vector<Mark> marks);
     void raiseFloor(Moment now, const char* why);
+    void noteMinted(std::int64_t mintedMs);
     bool isLatest(const Key& key, const Copy& copy);
     void givePosition(Moment now);
     void reclaim();
@@ -137,6 +138,9 @@
     Users users_;
     Shelf shelf_;
     PurgeMarks marks_;
+    std::int64_t latestMintedMs_ = 0;  // of all that is held or on its way
+    bool dropsLoading_ = false;        // what the segments still bring can't be proved either
+
     PurgeProof proof_;
     State state_ = State::opening;
     std::string problem_;  // told last
--- a/src/disk/worker.cpp
+++ b/src/disk/worker.cpp
@@ -197,17 +197,21 @@
     auto opened = folder_.open(Folder::Access::write);
     told.problem = std::move(opened.problem);
     told.busy = opened.busy;
+    told.tryAgain = opened.tryAgain();
     if (told.problem.empty()) {
         PurgeLog::Loaded log = log_.load(Folder::Access::write);
         told.problem = std::move(log.problem);
+        told.tryAgain = log.tryAgain;
         told.marks = std::move(log.marks);
         told.position = log.position;
         // A log that is new has a first line. Without it, it is not the one that belongs to these segments.
         told.empty = folder_.segments().empty();
         told.damaged = log.torn || (log_.lines() == 0 && !told.empty);
         if (told.problem.empty() && log_.lines() == 0)
-            if (const int error = log_.append({Mark{Mark::What::floor, 0, 0}}))
+            if (const int error = log_.append({Mark{Mark::What::floor, 0, 0}})) {
                 told.problem = problemOf("write", folder_.pathOf("purges"), error);
+                told.tryAgain = mayPass(error);
+            }
         if (!told.problem.empty()) folder_.close();
     }
     const bool good = told.problem.empty();
@@ -253,8 +257,7 @@
     if (error == 0 && all) {
         all->insert(all->end(), marks.begin() + static_cast<std::ptrdiff_t>(held), marks.end());
         error = log_.rewrite(*all);
-        if (error != 0) all.reset();  // the old log still holds all
-        error = 0;
+        error = 0;  // the old log, or the new one, holds all that was given
     }
     MarksKept told;
     if (error == 0)
--- a/src/disk/worker.hpp
+++ b/src/disk/worker.hpp
@@ -57,7 +57,8 @@
 
 struct OpenedFolder {  // first of all, or again after each attempt to open it
     Problem problem;
-    bool busy = false;
+    bool busy = false;      // another process holds it
+    bool tryAgain = false;  // it is held, or fails for a while
     std::vector<Mark> marks;
     std::optional<std::int64_t> position;
     bool damaged = false;  // marks may be missing
--- a/tests/disk_faults_test.cpp
+++ b/tests/disk_faults_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <thread>
 
+#include "disk/inspect.hpp"
 #include "disk_desk.hpp"
 
 namespace lotuslead::disk {
@@ -78,5 +79,38 @@
     EXPECT_TRUE(desk.has(2, kMinted + kBehind));
 }
 
+// Nobody may forget the damage before what it has cost is written down: not a tool that adds a purge, and not
+// a start that is killed.
+TEST(DiskFaults, ADamagedLogIsDamagedUntilAFloorIsKept) {
+    TemporaryFolder folder;
+    {
+        Desk desk(rulesFor(folder));
+        ASSERT_TRUE(desk.store(1, 1000));
+        for (int i = 5; i < 15; ++i) desk.tier.purgeObject("/files/" + std::to_string(i), 1000);
+        ASSERT_TRUE(desk.until([&] { return desk.tier.kept(); }));
+    }
+    std::fstream(folder.tier() + "/purges", std::ios::in | std::ios::out | std::ios::binary)
+        .seekp(50)
+        .put('\x77');
+    FileCalls files;
+    const auto added = addMarks(files, folder.tier(), {Mark{Mark::What::group, 3, 1000}});
+    EXPECT_NE(added.problem.find("is damaged"), std::string::npos) << added.problem;
+    {
+        Folder killed(files, folder.tier());
+        ASSERT_TRUE(killed.open(Folder::Access::write).problem.empty());
+        PurgeLog log(files, killed);
+        ASSERT_TRUE(log.load(Folder::Access::write).torn);
+    }
+    {
+        Desk desk(rulesFor(folder));
+        EXPECT_TRUE(desk.logged("the purge log is damaged"));
+        EXPECT_FALSE(desk.load(1));
+        ASSERT_TRUE(desk.until([&] { return desk.tier.kept(); }));
+    }
+    Desk desk(rulesFor(folder));
+    EXPECT_FALSE(desk.logged("the purge log is damaged"));
+    EXPECT_FALSE(desk.load(1));
+}
+
 }  // namespace
 }  // namespace lotuslead::disk
