Leave damage of the purge log in place until a floor has been written over it

Cause: PurgeLog::load cut damaged lines off at once; whoever loaded the log next found it whole, and served what the lost marks had purged. A tool that adds a purge does so, and a start that is killed before its floor is written. Change: the damage stays until a batch with a floor has been written and synced in its place.

--- a/src/disk/folder.cpp
+++ b/src/disk/folder.cpp
@@ -246,9 +246,11 @@
         else
             loaded.marks.push_back(*mark);
     }
-    // A line that a crash left half-written was never acknowledged; more than that is damage.
+    // A line that a crash left half-written was never acknowledged; more than that is damage, and stays to be
+    // seen until a floor has been written in its place.
     loaded.torn = read.bytes - bytes_ >= kMarkBytes;
-    if (writes && bytes_ < size) {
+    damaged_ = loaded.torn;
+    if (writes && bytes_ < size && !damaged_) {
         if (const int error = calls_.truncate(file.get(), bytes_)) fail("cut", error);
     }
     if (writes) file_ = std::move(file);
@@ -265,10 +267,15 @@
     if (error == 0) error = syncFolderIfDue();
     if (error != 0) {
         // What comes next begins where this began, so a half line is never followed by a whole one.
-        (void)calls_.truncate(file_.get(), bytes_);
+        if (!damaged_) (void)calls_.truncate(file_.get(), bytes_);
         return error;
     }
     bytes_ += bytes.size();
+    const bool makesGood = std::any_of(marks.begin(), marks.end(), [](const Mark& mark) {
+        return mark.what == Mark::What::floor && mark.atMs > 0;
+    });
+    // Where the rest can't be cut off the next start only drops its copies once more.
+    if (damaged_ && makesGood) damaged_ = calls_.truncate(file_.get(), bytes_) != 0;
     return 0;
 }
 
@@ -286,6 +293,7 @@
     // From here on the name leads to the new file: whatever fails now, the replaced one is not written again.
     file_ = std::move(file);
     bytes_ = bytes.size();
+    damaged_ = false;
     folderSyncDue_ = true;
     return syncFolderIfDue();
 }
--- a/src/disk/folder.hpp
+++ b/src/disk/folder.hpp
@@ -103,6 +103,7 @@
     Folder& folder_;
     File file_;
     std::uint64_t bytes_ = 0;
+    bool damaged_ = false;        // behind `bytes_` stands what could not be read
     bool folderSyncDue_ = false;  // after a crash the name may still be the replaced file's
 };
 
--- a/src/disk/tier.cpp
+++ b/src/disk/tier.cpp
@@ -330,12 +330,12 @@
     marks_.forEach([&](const Mark& mark) { heard.push_back(mark); });
     for (const Mark& mark : told.marks) marks_.add(mark);
     linesGiven_ = told.marks.size();
-    if (!heard.empty()) keep(std::move(heard));
     const PurgeProof::Begin begin = proof_.begin(rules_.purges, told.position);
     if (told.damaged)
         raiseFloor(now, "the purge log is damaged");
     else if (begin.floor && !told.empty)
         raiseFloor(now, "no bus tells what was purged meanwhile");
+    if (!heard.empty()) keep(std::move(heard));  // behind the floor, which makes good what is damaged
     if (begin.askFrom) users_.askFrom(*begin.askFrom);
     givePosition(now);  // the bus may have been heard before
 }
