--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -68,13 +68,114 @@
     }
 }
 
+// No room in the system for a moment, on a socket that stays writable: clients get their answers, and stores
+// their requests.
+void sendIsShortOfMemory() {
+    for (const char* rule : {"send=ENOBUFS:2", "send=ENOMEM:-2"}) {
+        FaultyGateway gateway(rule, std::string(kLargeBody, 'b'));
+        Connection client(gateway.program.port());
+        client.waitAtMost(kAnswerWithin);
+        for (int i = 1; i <= kCalls; ++i) assert(served(client, std::to_string(i)));
+    }
+}
+
+void receiveIsShortOfMemory() {
+    for (const char* rule :
+         {"recv=ENOMEM:3", "recv=ENOBUFS:-2", "recv=EINTR:2", "peek=EINTR:2", "peek=ENOMEM:2"}) {
+        FaultyGateway gateway(rule);
+        Connection client(gateway.program.port());
+        client.waitAtMost(kAnswerWithin);
+        for (int i = 1; i <= kCalls; ++i) assert(served(client, std::to_string(i)));
+    }
+}
+
+// send alone tells that a connection is broken; recv, on Linux, has nothing to say of it any more. The first
+// send goes to the store, the second to the client.
+void sendTellsOfABrokenConnection() {
+    for (const char* error : {"ETIMEDOUT", "EHOSTUNREACH", "EPIPE"}) {
+        {
+            Fleet fleet;
+            Peer first(store(serving("bytes"))), second(store(serving("bytes")));
+            Program program(configuration(fleet.with(
+                                {host("cache-1", first.address()), host("cache-2", second.address())})),
+                            "LB_CONFIG", 1024, faultVariables("send=" + std::string(error) + ":1:1:1"));
+            Connection client(program.port());
+            client.waitAtMost(1s);
+            assert(served(client, "1"));
+        }
+        FaultyGateway gateway("send=" + std::string(error) + ":1:2:1");
+        Connection client(gateway.program.port());
+        call(client, "1");
+        const auto asked = Clock::now();
+        assert(client.closed());
+        assert(Clock::now() - asked < 1s);
+    }
+}
+
+void signalsAreReadThoughInterrupted() {
+    FaultyGateway gateway("read=EINTR:-2");
+    Connection client(gateway.program.port());
+    assert(served(client, "1"));
+    gateway.program.signal(SIGHUP);
+    gateway.program.awaitLog("configuration read again");
+    gateway.program.signal(SIGTERM);
+    assert(gateway.program.exitCode() == 0);
+}
+
+// Neither a client's connection nor a store's can be watched at first.
+void epollIsShortOfMemory() {
+    for (const char* rule : {"epoll_ctl=ENOMEM:2", "epoll_ctl=ENOSPC:-3"}) {
+        FaultyGateway gateway(rule);
+        const int answered = servedOfOneRequestConnections(gateway.program.port());
+        std::fprintf(stderr, "%s: %d of %d connections answered\n", rule, answered, kConnections);
+        assert(answered == kConnections);
+    }
+}
+
+void theStartIsShortOfEverything() {
+    for (const char* rule : {"socket=ENFILE:1:1:3", "bind=EADDRINUSE:1:1:3", "bind=ENOMEM:1:1:3",
+                             "listen=EADDRINUSE:1:1:3", "open=ENFILE:1:1:2", "epoll_ctl=ENOMEM:1:1:3"}) {
+        FaultyGateway gateway(rule);
+        Connection client(gateway.program.port());
+        assert(served(client, "1"));
+    }
+}
+
+// A file that can't be opened for a moment is no bad file: the new one holds soon.
+void aReloadIsShortOfDescriptors() {
+    FaultSwitch faults;
+    Fleet fleet;
+    Peer cache(store(serving("bytes")));
+    const json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    Program program(settings, "LB_CONFIG", 1024, faults.variables("open=ENFILE:1:1:3"));
+    Connection client(program.port());
+    assert(served(client, "1"));
+    faults.set(true);
+    program.signal(SIGHUP);
+    program.awaitLog("configuration read again");
+}
+
+// The machine's own shortage is no word on any store, and costs no request.
+void socketsAreShortForAMoment() {
+    for (const char* rule :
+         {"socket=ENFILE:-2", "connect=EADDRNOTAVAIL:-2", "connect=ENETUNREACH:-2", "connect=EINTR:-2"}) {
+        FaultyGateway gateway(rule);
+        const int answered = servedOfOneRequestConnections(gateway.program.port());
+        std::fprintf(stderr, "%s: %d of %d connections answered\n", rule, answered, kConnections);
+        assert(answered == kConnections);
+    }
+}
+
 }  // namespace
 
 int main(int count, char** words) {
     const Story stories[] = {
-        {"accept-errors", acceptFailsForAMoment},
-        {"accept-descriptors", acceptShortOfDescriptors},
-        {"short-writes", sendTakesFewBytes},
+        {"accept-errors", acceptFailsForAMoment},     {"accept-descriptors", acceptShortOfDescriptors},
+        {"short-writes", sendTakesFewBytes},          {"send-memory", sendIsShortOfMemory},
+        {"receive-memory", receiveIsShortOfMemory},   {"send-broken", sendTellsOfABrokenConnection},
+        {"signals", signalsAreReadThoughInterrupted}, {"epoll-memory", epollIsShortOfMemory},
+        {"start", theStartIsShortOfEverything},       {"reload", aReloadIsShortOfDescriptors},
+        {"sockets", socketsAreShortForAMoment},
     };
     playStories(stories, count, words);
     return 0;
