Go on where sends, receives, connects and epoll_ctl are short of memory or descriptors

Cause: Stream took each failed send for a broken connection whose end recv would tell; it does not tell a shortage, nor twice an error that send told. Loop::add threw where the kernel had no memory for a watch. A failed socket or connect counted against the store. Change: src/net/system_errors.hpp names what an errno means; a shortage is tried again after 2 ms, a watch likewise, a connect up to six times (30 ms), then as End::unavailable, which blames no store and spends no retry; a send that fails for good ends its connection once what came is read; connect, peek and poll go on after EINTR.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -7,6 +7,12 @@
 
 namespace lotuslead::net {
 
+namespace {
+
+constexpr Micros kWatchAgain{2000};  // after the kernel was short of memory
+
+}  // namespace
+
 Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(clock()) {
     if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
@@ -17,18 +23,31 @@
 
 Loop::HandlerId Loop::add(int fd, std::uint32_t events, Handler& handler, Priority priority) {
     const HandlerId id = nextId_++;
-    epoll_event event{};
-    event.events = events | EPOLLET;
-    event.data.u64 = id;
-    if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
-        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+    if (!watch(id, fd, events)) unwatched_[id] = {fd, events};
     handlers_[id] = &handler;
     if (priority == Priority::first) first_.insert(id);
     return id;
 }
 
+// False: the kernel is short of memory, or of watches; it is tried again, and then tells what has come
+// meanwhile.
+bool Loop::watch(HandlerId id, int fd, std::uint32_t events) {
+    epoll_event event{};
+    event.events = events | EPOLLET;
+    event.data.u64 = id;
+    if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0) return true;
+    if (errno == ENOMEM || errno == ENOSPC) return false;
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+}
+
+void Loop::watchTheUnwatched() {
+    std::erase_if(unwatched_, [this](const auto& entry) {
+        return watch(entry.first, entry.second.fd, entry.second.events);
+    });
+}
+
 void Loop::remove(HandlerId id, int fd) {
-    ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+    if (unwatched_.erase(id) == 0) ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
     handlers_.erase(id);
     first_.erase(id);
     again_.erase(id);
@@ -60,6 +79,8 @@
 }
 
 void Loop::turn(Micros until) {
+    watchTheUnwatched();
+    if (!unwatched_.empty()) until = std::min(until, now_ + kWatchAgain);
     if (!timers_.empty()) until = std::min(until, timers_.begin()->first.first);
     const bool busy = !again_.empty() || !posted_.empty();
     int wait = 0;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -54,7 +54,14 @@
     void turn(Micros until);
 
 private:
+    struct Unwatched {
+        int fd = -1;
+        std::uint32_t events = 0;
+    };
+
     static Micros clock();
+    bool watch(HandlerId id, int fd, std::uint32_t events);
+    void watchTheUnwatched();
     void runPosted();
     void handle(HandlerId id, std::uint32_t what);
 
@@ -62,7 +69,8 @@
     Micros now_;
     std::uint64_t nextId_ = 1;
     std::unordered_map<HandlerId, Handler*> handlers_;
-    std::unordered_set<HandlerId> first_;  // those of priority
+    std::map<HandlerId, Unwatched> unwatched_;  // those that the kernel had no memory for
+    std::unordered_set<HandlerId> first_;       // those of priority
     std::unordered_map<HandlerId, std::uint32_t> again_;
     std::map<TimerKey, std::function<void()>> timers_;
     std::vector<std::function<void()>> posted_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kReadChunk = 64 * 1024;
 constexpr std::size_t kMostDropped = 256 * 1024;  // of what comes in after the end
 constexpr Micros kNotTaken = 3s;                  // then nobody reads what a connection that ends still has
+constexpr Micros kShortageWait = 2ms;             // of memory or descriptors: then the call is made again
+constexpr int kConnectTries = 6;                  // with growing waits, 30 ms in all
 constexpr int kReadsATurn = 4;                    // then the others have their turn
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
 
@@ -43,24 +45,46 @@
 }
 
 Stream::Stream(Loop& loop, const settings::Endpoint& to, User& user, Priority priority)
-    : loop_(loop),
-      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      user_(user),
-      state_(State::connecting) {
-    const sockaddr_in address = addressOf(to);
-    bool failed = !fd_;
-    if (!failed) {
+    : loop_(loop), user_(user), state_(State::connecting), to_(addressOf(to)), priority_(priority) {
+    connect();
+}
+
+// Where this machine is short of something the peer has not been asked, and the next try may succeed. A
+// failure is told from the next turn on, as it would be with a connect that fails a little later.
+void Stream::connect() {
+    fd_.reset(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    int error = fd_ ? 0 : errno;
+    if (fd_) {
         noDelay(fd_.get());
-        failed = ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 &&
-                 errno != EINPROGRESS;
+        error = connectOnce();
     }
-    if (failed) {
-        // Told from the next turn on, as it would be with a connect that fails a little later.
-        failedAtOnce_ = true;
-        timer_ = loop_.after(Micros{0}, [this] { end(End::refused); });
+    if (error == 0) {
+        id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this, priority_);
         return;
     }
-    id_ = loop_.add(fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, *this, priority);
+    fd_.reset();
+    if (!isLocalConnectFailure(error)) return endLater(End::refused);
+    if (++connectTries_ >= kConnectTries) return endLater(End::unavailable);
+    retry_ = loop_.after(kShortageWait * connectTries_, [this] {
+        retry_.reset();
+        connect();
+    });
+}
+
+// Zero: it is up or under way.
+int Stream::connectOnce() {
+    int result = 0;
+    do result = ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to_), sizeof to_);
+    while (result != 0 && errno == EINTR);
+    // EALREADY and EISCONN: the interrupted call had begun it.
+    return result == 0 || errno == EINPROGRESS || errno == EALREADY || errno == EISCONN ? 0 : errno;
+}
+
+void Stream::endLater(End why) {
+    retry_ = loop_.after(Micros{0}, [this, why] {
+        retry_.reset();
+        end(why);
+    });
 }
 
 Stream::~Stream() { close(); }
@@ -68,7 +92,9 @@
 void Stream::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
-    if (failedAtOnce_ || gentle_) loop_.cancel(timer_);
+    if (gentle_) loop_.cancel(timer_);
+    if (retry_) loop_.cancel(*retry_);
+    retry_.reset();
     if (id_ != 0) loop_.remove(id_, fd_.get());
     fd_.reset();
     queue_.clear();
@@ -107,19 +133,31 @@
     if (!std::exchange(shut_, true)) ::shutdown(fd_.get(), SHUT_WR);
 }
 
-bool Stream::quiet() const {
+namespace {
+
+// What recv would say now, with nothing taken.
+ssize_t peek(int fd) {
     char byte = 0;
-    return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+    ssize_t got = 0;
+    do got = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    while (got < 0 && errno == EINTR);
+    return got;
 }
 
+}  // namespace
+
+bool Stream::quiet() const { return !broken_ && peek(fd_.get()) < 0 && wouldBlock(errno); }
+
 bool Stream::peerEnded() const {
-    char byte = 0;
-    const ssize_t got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    if (broken_) return true;
+    const ssize_t got = peek(fd_.get());
+    if (got <= 0) return got == 0 || (!wouldBlock(errno) && !isShortage(errno));
     // Its end may stand behind what is still to be read.
     pollfd look{fd_.get(), POLLRDHUP, 0};
-    return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    int ready = 0;
+    do ready = ::poll(&look, 1, 0);
+    while (ready < 0 && errno == EINTR);
+    return ready > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 std::size_t Stream::untaken() const {
@@ -147,7 +185,7 @@
     do sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     while (sent < 0 && errno == EINTR);
     if (sent < 0) {
-        if (errno != EAGAIN && errno != EWOULDBLOCK) loop_.again(id_, EPOLLIN);  // the end is read there
+        sendFailed(errno);
         return false;
     }
     if (static_cast<std::size_t>(sent) == bytes.size()) return true;
@@ -172,14 +210,7 @@
         message.msg_iovlen = count;
         const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
         if (sent < 0 && errno == EINTR) continue;
-        if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
-        if (sent < 0) {
-            // Told in the next turn, never from within the caller's own write, and after what has come in
-            // before the reset has been read.
-            paused_ = false;
-            loop_.again(id_, EPOLLIN);
-            return;
-        }
+        if (sent < 0) return sendFailed(errno);
         unsent_ -= static_cast<std::size_t>(sent);
         headSent_ += static_cast<std::size_t>(sent);
         while (!queue_.empty() && headSent_ >= queue_.front().size()) {
@@ -189,6 +220,26 @@
     }
 }
 
+void Stream::sendFailed(int error) {
+    if (wouldBlock(error)) return;  // an edge tells when there is room
+    if (isShortage(error)) return lookAgain(EPOLLOUT);
+    // Told in the next turn, never from within the caller's own write, and after what has come in before the
+    // connection broke has been read. Reading may find nothing wrong: Linux tells an error once.
+    broken_ = true;
+    paused_ = false;
+    loop_.again(id_, EPOLLIN);
+}
+
+// A shortage passes without an edge.
+void Stream::lookAgain(std::uint32_t events) {
+    lookAgainFor_ |= events;
+    if (retry_) return;
+    retry_ = loop_.after(kShortageWait, [this] {
+        retry_.reset();
+        loop_.again(id_, std::exchange(lookAgainFor_, 0));
+    });
+}
+
 void Stream::pauseReading(bool paused) {
     if (paused_ == paused || state_ == State::closed) return;
     paused_ = paused;
@@ -243,8 +294,13 @@
         }
         const ssize_t got = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
         if (got < 0 && errno == EINTR) continue;
-        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        if (got < 0 && wouldBlock(errno)) {
             readable_ = false;
+            if (broken_) end(End::reset);
+            return 0;
+        }
+        if (got < 0 && isShortage(errno)) {
+            lookAgain(EPOLLIN);
             return 0;
         }
         if (got <= 0) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -1,7 +1,10 @@
 // One TCP connection: reads with a budget a turn, writes from a queue, and says why it ended.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,7 +15,13 @@
 
 class Stream : public Handler {
 public:
-    enum class End { refused, closedByPeer, reset, malformed };
+    enum class End {
+        refused,      // never came up
+        unavailable,  // never came up, for want of something on this machine: the peer was not asked
+        closedByPeer,
+        reset,
+        malformed,
+    };
     class User {
     public:
         virtual ~User() = default;
@@ -56,7 +65,12 @@
 private:
     enum class State { connecting, open, closed };
 
+    void connect();
+    int connectOnce();
+    void endLater(End why);
     void flush();
+    void sendFailed(int error);
+    void lookAgain(std::uint32_t events);
     void end(End why);
     void allWritten();
     void endGently();
@@ -81,8 +95,13 @@
     std::size_t dropped_ = 0;
     std::size_t left_ = 0;  // untaken when last looked at
     Micros gentleFor_{}, takenAt_{};
-    bool failedAtOnce_ = false;
     Loop::TimerKey timer_{};
+    bool broken_ = false;  // a send has failed for good; what came before is still read
+    std::optional<Loop::TimerKey> retry_;
+    std::uint32_t lookAgainFor_ = 0;
+    sockaddr_in to_{};
+    int connectTries_ = 0;
+    Priority priority_ = Priority::usual;
 };
 
 }  // namespace lotuslead::net
--- a/src/net/system_errors.hpp
+++ b/src/net/system_errors.hpp
@@ -13,6 +13,12 @@
 
 inline bool isDescriptorShortage(int error) { return error == EMFILE || error == ENFILE; }
 
+// socket or connect failed on this machine: no word on the peer, which has not been asked.
+inline bool isLocalConnectFailure(int error) {
+    return isShortage(error) || error == EADDRNOTAVAIL || error == EAGAIN || error == ENETUNREACH ||
+           error == ENETDOWN || error == ECONNABORTED;
+}
+
 // A non-blocking call has done all there was to do.
 inline bool wouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
--- a/src/platform/bus.cpp
+++ b/src/platform/bus.cpp
@@ -181,9 +181,10 @@
 void BusReader::streamEnded(net::Stream::End why) {
     // An answer without a length ends with its connection.
     if (why == net::Stream::End::closedByPeer && parser_.endOfStream() && takeAnswer()) return;
-    reconnect(why == net::Stream::End::refused     ? "connection refused"
-              : why == net::Stream::End::malformed ? "malformed answer"
-                                                   : "connection ended");
+    reconnect(why == net::Stream::End::refused       ? "connection refused"
+              : why == net::Stream::End::unavailable ? "no descriptor or memory for a connection"
+              : why == net::Stream::End::malformed   ? "malformed answer"
+                                                     : "connection ended");
 }
 
 }  // namespace lotuslead::platform
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -45,6 +45,7 @@
                         {"too_old", s.tooOld},
                         {"late_answers", s.lateAnswers},
                         {"held_back", s.heldBack},
+                        {"no_descriptor", s.noDescriptor},
                         {"connections", carrier_.connections()},
                         {"known", carrier_.known()}});
 }
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -165,13 +165,14 @@
     }
     void streamEnded(net::Stream::End why) override {
         using End = net::Stream::End;
-        if (why == End::refused) ++owner_.counters_.connectFailures;
+        if (why == End::refused || why == End::unavailable) ++owner_.counters_.connectFailures;
         if (why == End::malformed) {
             ++owner_.counters_.malformed;
             std::fprintf(stderr, "store %s: malformed answer, connection closed\n", host_.c_str());
         }
         if (why == End::reset || (why == End::closedByPeer && !out_.empty())) ++owner_.counters_.resets;
         if (why == End::refused) return fail(Outcome::noConnection, Verdict::one);
+        if (why == End::unavailable) return fail(Outcome::noConnection, Verdict::none);
         fail(Outcome::broken, heard_ ? Verdict::one : Verdict::none, true);
     }
     bool streamData(std::string_view data) override {
@@ -490,7 +491,7 @@
     if (best) return best;
     const bool full = connections() >= mostConnections_;
     if (silent && (full || store.links.size() >= kMostLinks)) return silent;
-    if (full) throw settings::Malformed("has no connection, and no descriptor is left for one");
+    if (full) return nullptr;
     best = std::make_shared<Link>(*this, host, settings::readEndpoint(store.address, "address"));
     store.links.push_back(best);
     return best;
@@ -529,18 +530,21 @@
     const auto place = places_.find(send.request);
     // Taken back meanwhile; its request may be gone, too.
     if (place == places_.end() || place->second.attempt != send.attempt) return;
+    AttemptEnd end;
+    end.request = send.request;
+    end.attempt = send.attempt;
+    end.outcome = Outcome::noConnection;
     try {
-        const auto link = linkFor(send.host, waiting.request->label);
-        place->second.link = link;
-        link->pull(std::move(waiting));
+        if (const auto link = linkFor(send.host, waiting.request->label)) {
+            place->second.link = link;
+            return link->pull(std::move(waiting));
+        }
+        ++counters_.noDescriptor;
+        end.blameless = true;  // it is this process that has too many connections
     } catch (const settings::Malformed& problem) {
         std::fprintf(stderr, "store %s: %s\n", send.host.c_str(), problem.what());
-        AttemptEnd end;
-        end.request = send.request;
-        end.attempt = send.attempt;
-        end.outcome = Outcome::noConnection;
-        tell(std::move(end));
     }
+    tell(std::move(end));
 }
 
 bool Stores::cancel(Micros, RequestId request, int attempt) {
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -24,7 +24,7 @@
     };
     struct Counters {
         std::uint64_t connects = 0, connectFailures = 0, resets = 0, malformed = 0, stalled = 0, echoes = 0,
-                      stuck = 0, movedOn = 0, tooOld = 0, lateAnswers = 0, heldBack = 0;
+                      stuck = 0, movedOn = 0, tooOld = 0, lateAnswers = 0, heldBack = 0, noDescriptor = 0;
     };
 
     Stores(net::Loop& loop, const settings::Configuration& configuration);
@@ -60,6 +60,7 @@
         int attempt = 0;
     };
 
+    // None: no descriptor is left for one. Throws settings::Malformed where the host can't be reached at all.
     std::shared_ptr<Link> linkFor(const std::string& host, const std::string& label);
     void carry(Waiting waiting);
     void retireStuck(Store& store);
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -84,7 +84,7 @@
         if (work_) owner_.tell(*work_, outcome);
         work_.reset();
         owner_.loop_.retire(self);
-        owner_.drop(host_, this);
+        owner_.drop(host_, this, blameless_);
     }
     // HTTP/1.1 has no other way to give a request up.
     void giveUp() {
@@ -116,14 +116,16 @@
     void streamEnded(net::Stream::End why) override {
         using End = net::Stream::End;
         if (why == End::closedByPeer && work_ && parser_.endOfStream()) return answered(false);
-        if (why == End::refused) ++owner_.counters_.connectFailures;
+        const bool cameUp = why != End::refused && why != End::unavailable;
+        if (!cameUp) ++owner_.counters_.connectFailures;
         if (why == End::reset) ++owner_.counters_.resets;
         if (why == End::malformed) {
             ++owner_.counters_.malformed;
             std::fprintf(stderr, "repository server %s: malformed answer, connection closed\n",
                          host_.c_str());
         }
-        fail(why == End::refused ? Outcome::noConnection : Outcome::broken);
+        blameless_ = why == End::unavailable;
+        fail(cameUp ? Outcome::broken : Outcome::noConnection);
     }
 
     void answered(bool keep) {
@@ -215,6 +217,7 @@
     std::optional<Waiting> work_;
     std::optional<net::Loop::TimerKey> timer_;
     bool ended_ = false;
+    bool blameless_ = false;  // its end says nothing of the server
     net::Stream stream_;
 };
 
@@ -262,12 +265,12 @@
     for (const auto& link : links) link->fail(Outcome::broken);
 }
 
-void Upstreams::drop(const std::string& host, Link* link) {
+void Upstreams::drop(const std::string& host, Link* link, bool blameless) {
     Server& server = servers_[host];
     std::erase_if(server.links, [&](const auto& held) { return held.get() == link; });
     // Those that were waiting for this connection to come up have lost it.
     if (server.links.empty())
-        for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::noConnection);
+        for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::noConnection, blameless);
 }
 
 void Upstreams::send(Micros, const core::Request& request, const core::Verdict& send) {
@@ -346,8 +349,9 @@
     return words + "\r\n";
 }
 
-void Upstreams::tell(const Waiting& waiting, Outcome outcome) {
+void Upstreams::tell(const Waiting& waiting, Outcome outcome, bool blameless) {
     AttemptEnd end;
+    end.blameless = blameless;
     end.request = waiting.send.request;
     end.attempt = waiting.send.attempt;
     end.outcome = outcome;
--- a/src/repository/upstreams.hpp
+++ b/src/repository/upstreams.hpp
@@ -59,8 +59,8 @@
     void serveWaiting(const std::string& host);
     std::string wordsFor(const core::Request& request, const core::Verdict& send);
     void tell(core::AttemptEnd end);
-    void tell(const Waiting& waiting, Outcome outcome);
-    void drop(const std::string& host, Link* link);
+    void tell(const Waiting& waiting, Outcome outcome, bool blameless = false);
+    void drop(const std::string& host, Link* link, bool blameless);
     void dropAll(Server& server);
 
     net::Loop& loop_;
