Read interrupted signals again, and wait for addresses and files that are short for a moment

Change: net::readSignals; addresses are tried again until 25 s after the start, files for 2 s at a start and 5 s at a reload; FormerListener takes in for 1 s what still comes to the address before.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,5 +1,4 @@
 // One agent: agrees with the others on the shared configuration, serves it, and runs instances as agreed.
-#include <sys/signalfd.h>
 #include <sys/stat.h>
 
 #include <cerrno>
@@ -12,6 +11,7 @@
 #include <system_error>
 
 #include "../net/call.hpp"
+#include "../net/signals.hpp"
 #include "control.hpp"
 #include "event_feed.hpp"
 #include "state.hpp"
@@ -97,17 +97,14 @@
         sigemptyset(&set);
         for (const int number : {SIGTERM, SIGINT, SIGCHLD}) sigaddset(&set, number);
         sigprocmask(SIG_BLOCK, &set, nullptr);
-        net::Descriptor fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-        if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
-        return fd;
+        return net::watchSignals(set);
     }
     std::uint32_t ready(std::uint32_t) override {
-        signalfd_siginfo info{};
-        while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-            if (info.ssi_signo == SIGCHLD || phase_ != Phase::running) continue;
+        net::readSignals(signals_, [this](int number) {
+            if (number == SIGCHLD || phase_ != Phase::running) return;
             phase_ = Phase::stopping;
             supervisor_.stopAll();
-        }
+        });
         supervisor_.reap();  // several children may have ended by one signal
         return 0;
     }
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -19,8 +19,10 @@
     virtual bool prepared() const = 0;  // it is there
     // The event bus has said that there is more than was applied since the start.
     virtual bool catchingUp() const = 0;
-    virtual void open() = 0;            // begins to listen
-    virtual void reload() = 0;          // reads its configuration again; what can't be used changes nothing
+    virtual void open() = 0;  // begins to listen
+    // Reads its configuration again; what can't be used changes nothing, and is told. False, where it may be
+    // tried again: the file can't be read now, for want of descriptors or memory.
+    virtual bool reload(bool mayTryAgain) = 0;
     virtual void turn(Micros now) = 0;  // what is due by the clock
     virtual Micros nextTurn() const = 0;
     // Sends clients away, until it is taken back.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,13 +1,13 @@
 #include "gateway.hpp"
 
-#include <sys/signalfd.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <system_error>
 #include <utility>
 
+#include "../net/signals.hpp"
+
 namespace lotuslead::gateway {
 
 using core::Micros;
@@ -23,7 +23,9 @@
 constexpr Micros kBeforeKill = 40ms;  // and by then the process has ended, whoever has not read
 constexpr Micros kLeaveTick = 20ms;
 constexpr Micros kLongestStart = 1500ms;  // the platform waits 6 s
-constexpr Micros kLongestCatchUp = 25s;   // and counts a gateway as failed after 30 s
+constexpr Micros kReloadAgain = 50ms;     // where a file can't be read for want of descriptors or memory
+constexpr int kMostReloadTries = 100;
+constexpr Micros kLongestCatchUp = 25s;  // and counts a gateway as failed after 30 s
 
 }  // namespace
 
@@ -39,16 +41,15 @@
 Gateway::Gateway(std::optional<settings::Endpoint> door, const char* folder)
     : folder_(folder), meeting_(loop_, *this), givenDoor_(std::move(door)) {
     const sigset_t set = holdSignals();
-    signals_.reset(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-    if (!signals_) throw std::system_error(errno, std::generic_category(), "signalfd");
+    signals_ = net::watchSignals(set);
     signalsId_ = loop_.add(signals_.get(), EPOLLIN, *this);
 }
 
 Gateway::~Gateway() { loop_.remove(signalsId_, signals_.get()); }
 
 void Gateway::start() {
-    openDoor();  // before the clients' address: it tells that this is not yet open
     startedAt_ = loop_.now();
+    openAddresses(AddressSet::door);  // before the clients' address: it tells that this is not yet open
     meeting_.open(folder_);
     if (!meeting_.problem().empty())
         std::fprintf(stderr, "lotuslead: no meeting place for a successor: %s\n", meeting_.problem().c_str());
@@ -67,11 +68,29 @@
     const Micros longest = catchingUp ? kLongestCatchUp : kLongestStart;
     if ((!ready || meeting_.awaitsHandOver()) && loop_.now() - startedAt_ < longest) return;
     if (catchingUp) std::fprintf(stderr, "lotuslead: opens without all that the event bus has to tell\n");
-    for (const auto& service : services_) service->open();
+    if (!openAddresses(AddressSet::all)) return;
     phase_ = Phase::serving;
     meeting_.serving();
 }
 
+// False: an address can't be had yet, such as one that an older process has not let go of.
+bool Gateway::openAddresses(AddressSet which) {
+    try {
+        openDoor();
+        if (which == AddressSet::door) return true;
+        for (; opened_ < services_.size(); ++opened_) services_[opened_]->open();
+        return true;
+    } catch (const std::system_error& problem) {
+        const int error = problem.code().value();
+        const bool mayPass = net::isShortage(error) || error == EADDRINUSE || error == EINTR;
+        if (!mayPass || loop_.now() - startedAt_ >= kLongestCatchUp) throw;
+        if (problem.what() != addressProblem_)
+            std::fprintf(stderr, "lotuslead: %s; it is tried again\n", problem.what());
+        addressProblem_ = problem.what();
+        return false;
+    }
+}
+
 std::string Gateway::handOver() {
     nlohmann::json known = nlohmann::json::object();
     for (const auto& service : services_) known[service->part()] = service->handOver();
@@ -116,7 +135,10 @@
 // Between two turns: nothing that a turn has begun meets other settings at its end.
 void Gateway::reload() {
     if (!std::exchange(reloadAsked_, false)) return;
-    for (const auto& service : services_) service->reload();
+    bool read = true;
+    for (const auto& service : services_) read = service->reload(reloadTries_ < kMostReloadTries) && read;
+    reloadTries_ = read ? 0 : reloadTries_ + 1;
+    if (!read) loop_.after(kReloadAgain, [this] { reloadAsked_ = true; });
     try {
         openDoor();
     } catch (const std::system_error& problem) {
@@ -216,15 +238,14 @@
 }
 
 std::uint32_t Gateway::ready(std::uint32_t) {
-    signalfd_siginfo info{};
-    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-        if (info.ssi_signo == SIGUSR1)
+    net::readSignals(signals_, [this](int number) {
+        if (number == SIGUSR1)
             printCounters();
-        else if (info.ssi_signo == SIGHUP)
+        else if (number == SIGHUP)
             reloadAsked_ = true;
         else
             leaveAsked_ = true;
-    }
+    });
     return 0;
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -40,8 +40,11 @@
     void takeOver(const std::string& what) override;
     void processesChanged(int count) override;
 
+    enum class AddressSet { door, all };
+
     void start();
     void open();
+    bool openAddresses(AddressSet which);
     void reload();
     void openDoor();
     void leave();
@@ -55,6 +58,9 @@
     net::Descriptor signals_;
     net::Loop::HandlerId signalsId_ = 0;
     Phase phase_ = Phase::starting;
+    std::size_t opened_ = 0;  // services that listen
+    std::string addressProblem_;
+    int reloadTries_ = 0;  // in a row, that failed for want of something that may come back
     bool reloadAsked_ = false, leaveAsked_ = false;
     bool handedOver_ = false;  // a successor serves while this process leaves
     bool lastCall_ = false;    // what was open has been answered, and what still comes is refused
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,5 @@
+#include <cerrno>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -5,8 +7,11 @@
 #include <optional>
 #include <sstream>
 #include <string_view>
+#include <system_error>
+#include <thread>
 
 #include "gateway/gateway.hpp"
+#include "net/system_errors.hpp"
 #include "platform/service.hpp"
 #include "repository/service.hpp"
 #include "settings/disk.hpp"
@@ -16,11 +21,28 @@
 using namespace lotuslead;
 
 std::string contentsOf(const char* variable, const char* path) {
+    errno = 0;
     std::ifstream file(path);
     std::ostringstream text;
-    if (!file || !(text << file.rdbuf()))
-        throw settings::Malformed(std::string(variable) + ": cannot read '" + path + "'");
-    return text.str();
+    if (file && text << file.rdbuf()) return text.str();
+    const std::string problem = std::string(variable) + ": cannot read '" + path + "'";
+    if (net::isShortage(errno)) throw std::system_error(errno, std::generic_category(), problem);
+    throw settings::Malformed(problem);
+}
+
+// Before there is a loop: made again, for up to 2 s, while descriptors or memory are short.
+template <class Make>
+auto whileShort(Make make) {
+    constexpr int kTries = 200;
+    constexpr std::chrono::milliseconds kWait{10};
+    for (int i = 1;; ++i) {
+        try {
+            return make();
+        } catch (const std::system_error& problem) {
+            if (i == kTries || !net::isShortage(problem.code().value())) throw;
+        }
+        std::this_thread::sleep_for(kWait);
+    }
 }
 
 const char* variable(const char* name) {
@@ -52,22 +74,26 @@
         if (const char* given = variable("LB_OPERATOR")) door = settings::readEndpoint(given, "LB_OPERATOR");
         const char* diskFile = variable("LB_DISK");
         const auto disk = [=] { return settings::readDiskFile(contentsOf("LB_DISK", diskFile)); };
-        if (diskFile) (void)disk();  // a bad file ends the start, whichever front it is for
+        if (diskFile) (void)whileShort(disk);  // a bad file ends the start, whichever front it is for
         gateway::Gateway gateway(door, variable("TMPDIR"));
         if (platformFile) {
-            auto service = std::make_unique<platform::Service>(
-                gateway.loop(),
-                [=] { return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile)); },
-                listening ? listening : "");
-            if (diskFile) service->useDisk([=] { return disk().platform; });
-            gateway.add(std::move(service));
+            gateway.add(whileShort([&] {
+                auto service = std::make_unique<platform::Service>(
+                    gateway.loop(),
+                    [=] { return settings::readConfiguration(contentsOf("LB_CONFIG", platformFile)); },
+                    listening ? listening : "");
+                if (diskFile) service->useDisk([=] { return disk().platform; });
+                return service;
+            }));
         }
         if (repositoryFile) {
-            auto service = std::make_unique<repository::Service>(gateway.loop(), [=] {
-                return settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile));
-            });
-            if (diskFile) service->useDisk([=] { return disk().repository; });
-            gateway.add(std::move(service));
+            gateway.add(whileShort([&] {
+                auto service = std::make_unique<repository::Service>(gateway.loop(), [=] {
+                    return settings::readRepositoryConfiguration(contentsOf("LB_REPOSITORY", repositoryFile));
+                });
+                if (diskFile) service->useDisk([=] { return disk().repository; });
+                return service;
+            }));
         }
         return gateway.run();
     } catch (const settings::Malformed& problem) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -23,6 +23,7 @@
 constexpr int kAcceptsATurn = 8;
 constexpr Micros kAcceptAgain = 5ms;     // after a shortage
 constexpr Micros kShortForLong = 500ms;  // of descriptors: whoever waits is told by a close
+constexpr Micros kFormerAddress = 1s;    // after a move
 constexpr int kBacklog = 1024;
 
 // accept(2): the connection has failed before it was taken; the next one is not concerned.
@@ -55,7 +56,7 @@
         ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         ::listen(fd.get(), kBacklog) != 0)
         throw std::system_error(errno, std::generic_category(),
-                                "cannot listen on " + at.host + ":" + std::to_string(at.port));
+                                "cannot listen at " + at.host + ":" + std::to_string(at.port));
     return fd;
 }
 
@@ -147,4 +148,22 @@
     spare_.reset(::open("/dev/null", O_RDONLY | O_CLOEXEC));
 }
 
+void FormerListener::replace(std::unique_ptr<Listener>& current, std::unique_ptr<Listener> next) {
+    close();  // of several moves in a row the last counts
+    listener_ = std::exchange(current, std::move(next));
+    timer_ = loop_.after(kFormerAddress, [this] { closeOnceEmpty(); });
+}
+
+void FormerListener::closeOnceEmpty() {
+    timer_.reset();
+    if (listener_->takeWaiting()) return listener_.reset();
+    timer_ = loop_.after(kAcceptAgain, [this] { closeOnceEmpty(); });
+}
+
+void FormerListener::close() {
+    if (timer_) loop_.cancel(*timer_);
+    timer_.reset();
+    listener_.reset();
+}
+
 }  // namespace lotuslead::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -56,4 +57,24 @@
     Counters counters_;
 };
 
+// Where the address has moved: the socket at the old one goes on for a while, since whoever has connected
+// there, or is about to, is owed an answer.
+class FormerListener {
+public:
+    explicit FormerListener(Loop& loop) : loop_(loop) {}
+    ~FormerListener() { close(); }
+
+    // `current` becomes `next`, and what it was is kept open.
+    void replace(std::unique_ptr<Listener>& current, std::unique_ptr<Listener> next);
+    void close();
+    bool settled() { return !listener_ || listener_->takeWaiting(); }
+
+private:
+    void closeOnceEmpty();
+
+    Loop& loop_;
+    std::unique_ptr<Listener> listener_;
+    std::optional<Loop::TimerKey> timer_;
+};
+
 }  // namespace lotuslead::net
--- a/src/net/system_errors.hpp
+++ b/src/net/system_errors.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cerrno>
+#include <chrono>
+#include <thread>
 
 namespace lotuslead::net {
 
@@ -22,4 +24,19 @@
 // A non-blocking call has done all there was to do.
 inline bool wouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
+// For calls before there is a loop, without which the process could not go on: made again, for up to 2 s,
+// while this machine is short of something. Returns what the last call did, a negative number with errno set
+// where it failed.
+template <class Call>
+int retriedAtStart(Call call) {
+    constexpr int kTries = 200;
+    constexpr std::chrono::milliseconds kWait{10};
+    int result = call();
+    for (int i = 1; i < kTries && result < 0 && (isShortage(errno) || errno == EINTR); ++i) {
+        std::this_thread::sleep_for(kWait);
+        result = call();
+    }
+    return result;
+}
+
 }  // namespace lotuslead::net
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -436,7 +436,11 @@
 };
 
 Front::Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration)
-    : loop_(loop), requests_(requests), words_(configuration.words), address_(configuration.listen) {
+    : loop_(loop),
+      requests_(requests),
+      words_(configuration.words),
+      address_(configuration.listen),
+      former_(loop) {
     limits_ = configuration.limits;
     takeLimits();
 }
@@ -449,7 +453,8 @@
 }
 
 void Front::reconfigure(const settings::Configuration& configuration) {
-    if (listener_ && !(configuration.listen == address_)) listener_ = listenOn(configuration.listen);
+    if (listener_ && !(configuration.listen == address_))
+        former_.replace(listener_, listenOn(configuration.listen));
     address_ = configuration.listen;
     limits_ = configuration.limits;
     takeLimits();
@@ -516,7 +521,10 @@
     });
 }
 
-void Front::stopListening() { listener_.reset(); }
+void Front::stopListening() {
+    listener_.reset();
+    former_.close();
+}
 
 void Front::accept(net::Descriptor fd) {
     if (clients_.size() >= mostClients_ && !makeRoom()) {
@@ -581,6 +589,7 @@
 
 bool Front::settled() {
     if (listener_ && !listener_->takeWaiting()) return false;
+    if (!former_.settled()) return false;
     return std::all_of(clients_.begin(), clients_.end(),
                        [](const auto& entry) { return entry.second->settled(); });
 }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -89,6 +89,7 @@
     std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
     std::unique_ptr<net::Listener> listener_;
+    net::FormerListener former_;
     std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
     std::unordered_set<std::string> labels_;  // of the open requests
     Counters counters_;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -5,10 +5,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "../core/service.hpp"
 #include "../disk/before.hpp"
+#include "../net/system_errors.hpp"
 #include "bus.hpp"
 
 namespace lotuslead::platform {
@@ -60,7 +62,7 @@
                      front_.port());
     }
     // All that can fail comes first; from there on the new file applies whole.
-    void reload() override {
+    bool reload(bool mayTryAgain) override {
         const std::string name = baseOf(configuration_).name;
         try {
             Configuration fresh = source_();
@@ -77,10 +79,15 @@
             bus_.take(known);  // events that came by the event bus already are not applied again
             bus_.moveTo(baseOf(configuration_).bus);
             std::fprintf(stderr, "%s: configuration read again\n", name.c_str());
+        } catch (const std::system_error& problem) {
+            if (mayTryAgain && net::isShortage(problem.code().value())) return false;
+            std::fprintf(stderr, "%s: configuration not taken, the old one stays: %s\n", name.c_str(),
+                         problem.what());
         } catch (const std::exception& problem) {
             std::fprintf(stderr, "%s: configuration not taken, the old one stays: %s\n", name.c_str(),
                          problem.what());
         }
+        return true;
     }
     void turn(core::Micros now) override {
         before_.turn(now);
--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -471,7 +471,7 @@
 
 Front::Front(net::Loop& loop, core::Requests& requests,
              const settings::RepositoryConfiguration& configuration)
-    : loop_(loop), requests_(requests), configuration_(configuration) {
+    : loop_(loop), requests_(requests), configuration_(configuration), former_(loop) {
     takeLimits(configuration.base.limits);
 }
 
@@ -502,7 +502,7 @@
 
 void Front::reconfigure(const settings::RepositoryConfiguration& configuration) {
     if (listener_ && !(configuration.base.listen == configuration_.base.listen))
-        listener_ = listenOn(configuration.base.listen);
+        former_.replace(listener_, listenOn(configuration.base.listen));
     takeLimits(configuration.base.limits);
 }
 
@@ -561,6 +561,7 @@
 
 bool Front::settled() {
     if (listener_ && !listener_->takeWaiting()) return false;
+    if (!former_.settled()) return false;
     return std::all_of(clients_.begin(), clients_.end(),
                        [](const auto& entry) { return entry.second->settled(); });
 }
