--- a/include/lotuslead/router.hpp
+++ b/include/lotuslead/router.hpp
@@ -176,12 +176,22 @@
     bool renew = false;       // an ageing copy is served and fetched anew behind
     Time timeout{};
 };
+// Why a request was given up, which means answered at once; a refusal tells the client when to come back.
+enum class GiveUp {
+    noTime,        // left for another attempt
+    mostAttempts,  // as many as the settings allow
+    noRoute,       // no host that may be used now
+    noAllowance,   // for retries
+    cancelled      // its attempt was
+};
 struct Refuse {
     RequestId request = 0;
     Time retryIn{};
+    GiveUp why = GiveUp::noRoute;
 };
 struct Fail {
     RequestId request = 0;
+    GiveUp why = GiveUp::noRoute;
 };
 struct Cancel {
     RequestId request = 0;
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -90,7 +90,7 @@
         if (store.readiness == Readiness::gone)
             hosts_.erase(store.name);
         else
-            hosts_[store.name] = store.readiness;
+            hosts_[store.name] = {store.readiness, entry.zone, entry.cell};
         list.entries.push_back(std::move(entry));
     }
     router_.handle(moduleTime(now), list, actions_);
@@ -176,17 +176,6 @@
 
 Micros Decisions::nextTick() const { return timers_.empty() ? Micros::max() : timers_.begin()->first; }
 
-bool Decisions::holds(const Request& request, const Verdict& send) const {
-    const auto ready = [&](const std::string& name) { return readinessOf(name) == Readiness::ready; };
-    if (!ready(send.host) || (!send.source.empty() && !ready(send.source))) return false;
-    return !purgedSince(request, send.pickedAt);
-}
-
-bool Decisions::mayRepeat(const Request& request, Micros ago) const {
-    const ClassSettings& c = words_.settings.classes[static_cast<std::size_t>(request.classIndex)];
-    return c.effect == Effect::safe || (c.effect == Effect::keyed && ago < c.repeatWindow);
-}
-
 bool Decisions::purgedSince(const Request& request, Micros when) const {
     const auto object = objectPurges_.find(request.object);
     if (object != objectPurges_.end() && object->second >= when) return true;
@@ -194,9 +183,9 @@
     return group != groupPurges_.end() && group->second >= when;
 }
 
-Readiness Decisions::readinessOf(const std::string& host) const {
-    const auto found = hosts_.find(host);
-    return found == hosts_.end() ? Readiness::gone : found->second;
+Decisions::ListedHost Decisions::hostOf(const std::string& name) const {
+    const auto found = hosts_.find(name);
+    return found == hosts_.end() ? ListedHost{} : found->second;
 }
 
 std::vector<Verdict> Decisions::collect(Micros now) {
@@ -224,10 +213,12 @@
             verdict.verb = Verb::refuse;
             verdict.request = action.request;
             verdict.pause = duration_cast<Micros>(action.retryIn);
+            verdict.why = action.why;
             attempts_.erase(action.request);
         } else if constexpr (std::is_same_v<Kind, Fail>) {
             verdict.verb = Verb::fail;
             verdict.request = action.request;
+            verdict.why = action.why;
             attempts_.erase(action.request);
         } else if constexpr (std::is_same_v<Kind, Cancel>) {
             verdict.verb = Verb::cancel;
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -38,8 +38,9 @@
 struct Verdict {
     Verb verb = Verb::fail;
     RequestId request = 0;
-    int attempt = 0;  // send and cancel
-    Micros pause{};   // refuse: the client may come back after this
+    int attempt = 0;               // send and cancel
+    Micros pause{};                // refuse: the client may come back after this
+    GiveUp why = GiveUp::noRoute;  // refuse and fail
     // send:
     std::string host;
     std::string source;  // where a miss is filled from; empty: no fill
@@ -88,14 +89,15 @@
     std::vector<Verdict> tick(Micros now);
     Micros nextTick() const;  // Micros::max(): nothing is due
 
-    // Whether a send picked earlier may still be begun: its hosts are still to be sent to, and no purge has
-    // come that its limit on age does not know of.
-    bool holds(const Request& request, const Verdict& send) const;
-    // Whether what may have run, sent so long ago, may be sent again.
-    bool mayRepeat(const Request& request, Micros ago) const;
     // Whether a purge of the object or its group was told at or after this moment.
     bool purgedSince(const Request& request, Micros when) const;
-    Readiness readinessOf(const std::string& host) const;
+    // What the list says of a host.
+    struct ListedHost {
+        Readiness readiness = Readiness::gone;
+        int zone = 0;
+        std::int64_t cell = 0;
+    };
+    ListedHost hostOf(const std::string& name) const;
 
 private:
     Time moduleTime(Micros now) const { return now + kEpoch; }
@@ -113,8 +115,8 @@
     Micros unixAhead_;
     Actions actions_;
     std::multimap<Micros, TimerId> timers_;
-    std::unordered_map<RequestId, int> attempts_;       // made so far, of requests without a final answer
-    std::unordered_map<std::string, Readiness> hosts_;  // those that are not gone
+    std::unordered_map<RequestId, int> attempts_;        // made so far, of requests without a final answer
+    std::unordered_map<std::string, ListedHost> hosts_;  // those that are not gone
     std::unordered_map<std::string, Micros> objectPurges_;
     std::unordered_map<std::int64_t, Micros> groupPurges_;
     Micros purgesSwept_{};
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -2,8 +2,23 @@
 
 #include <algorithm>
 
+#include "../support/trace.hpp"
+
 namespace lotuslead::core {
 
+const char* nameOf(Outcome outcome) {
+    constexpr std::array<const char*, kOutcomes> names{"served",    "error",         "not_taken",
+                                                       "timed_out", "no_connection", "broken",
+                                                       "cancelled", "not_sent",      "no_copy"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+const char* nameOf(GiveUp why) {
+    constexpr std::array<const char*, kGiveUps> names{"no_time", "most_attempts", "no_route", "no_allowance",
+                                                      "cancelled"};
+    return names[static_cast<std::size_t>(why)];
+}
+
 namespace {
 
 bool mayHaveRun(Outcome outcome) {
@@ -17,9 +32,14 @@
     const RequestId id = request.id;
     Job& job = jobs_[id];
     job.request = std::move(request);
+    job.rules = decisions_.words().settings.classes[static_cast<std::size_t>(job.request.classIndex)];
     job.answer = std::move(answer);
     ++open_;
     ++counters_.taken;
+    if (Trace::on())
+        Trace::write("take", {{"request", job.request.label},
+                              {"class", job.request.className},
+                              {"left_us", std::to_string((job.request.deadline - now).count())}});
     follow(now, {decisions_.pick(now, job.request)});
 }
 
@@ -30,6 +50,7 @@
     found->second.answer = nullptr;
     --open_;
     ++counters_.gone;
+    if (Trace::on()) Trace::write("withdraw", {{"request", found->second.request.label}});
     follow(now, decisions_.clientGone(now, id));
     forgetIfDone(id);
 }
@@ -39,6 +60,9 @@
     // A late word on an attempt that was given up is nobody's any more.
     if (found == jobs_.end() || !found->second.out || found->second.send.attempt != end.attempt) return;
     Job& job = found->second;
+    const AnswerFacts answer{false, end.payload.unchanged, !job.request.known.empty()};
+    if (end.outcome == Outcome::served && !checks_.require(mayAnswer(answer), "answer", job.request.label))
+        end.outcome = Outcome::error;
     if (end.outcome == Outcome::served && purged_ == PurgedMeanwhile::fetchAnew &&
         decisions_.purgedSince(job.request, job.send.pickedAt))
         end.outcome = Outcome::notSent;
@@ -80,15 +104,34 @@
     return std::min(timeout, decisions_.nextTick());
 }
 
-bool Requests::holds(Micros now, RequestId id, int attempt) const {
+bool Requests::mayBegin(Micros now, RequestId id, int attempt) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.out || found->second.send.attempt != attempt) return false;
     const Job& job = found->second;
-    // Its client has left, and the settings may bar cancels.
-    if (job.answered) return false;
-    // Picked in time, a repeat may have waited until it would run anew.
-    if (job.mayHaveRun && !decisions_.mayRepeat(job.request, now - *job.mayHaveRun)) return false;
-    return decisions_.holds(job.request, job.send);
+    const Denial denial = denialOf(now, job, job.send);
+    if (denial != Denial::none && Trace::on())
+        Trace::write(
+            "hold_back",
+            {{"request", job.request.label}, {"attempt", std::to_string(attempt)}, {"why", nameOf(denial)}});
+    return checks_.allows(denial);
+}
+
+Denial Requests::denialOf(Micros now, const Job& job, const Verdict& send) const {
+    SendFacts facts;
+    facts.answered = job.answered;
+    facts.now = now;
+    facts.deadline = job.request.deadline;
+    facts.host = decisions_.hostOf(send.host).readiness;
+    if (!send.source.empty()) facts.source = decisions_.hostOf(send.source).readiness;
+    // A pick knows of all purges that were told before it, also in the same turn.
+    facts.purgedSincePick = now > send.pickedAt && decisions_.purgedSince(job.request, send.pickedAt);
+    facts.to = localityOf(send.host);
+    return maySend(job.rules, facts, job.earlier);
+}
+
+Locality Requests::localityOf(const std::string& host) const {
+    const Decisions::ListedHost listed = decisions_.hostOf(host);
+    return {listed.zone, listed.cell};
 }
 
 void Requests::follow(Micros now, std::vector<Verdict> verdicts) {
@@ -109,20 +152,38 @@
         } else if (job.answered) {
             continue;
         } else if (verdict.verb == Verb::send) {
-            begin(now, job, std::move(verdict));
+            for (Verdict& next : begin(now, job, std::move(verdict))) verdicts.push_back(std::move(next));
         } else {
-            Reply reply;
-            reply.word = verdict.verb == Verb::refuse ? Reply::Word::refused : Reply::Word::failed;
-            reply.pause = verdict.pause;
-            reply.late = now >= job.request.deadline;
-            reply.last = job.last;
-            finish(job, std::move(reply));
+            giveUp(now, job, verdict);
             forgetIfDone(verdict.request);
         }
     }
 }
 
-void Requests::begin(Micros now, Job& job, Verdict&& send) {
+void Requests::giveUp(Micros now, Job& job, const Verdict& verdict) {
+    const bool mayHave = job.out || job.earlier.has_value();
+    const bool refused = verdict.verb == Verb::refuse &&
+                         checks_.require(mayRefuse(job.rules, mayHave), "refusal", job.request.label);
+    ++counters_.gaveUp[static_cast<std::size_t>(verdict.why)];
+    if (Trace::on())
+        Trace::write("give_up", {{"request", job.request.label},
+                                 {"word", refused ? "refused" : "failed"},
+                                 {"why", nameOf(verdict.why)}});
+    Reply reply;
+    reply.word = refused ? Reply::Word::refused : Reply::Word::failed;
+    reply.pause = verdict.pause;
+    reply.late = now >= job.request.deadline;
+    reply.last = job.last;
+    finish(job, std::move(reply));
+}
+
+std::vector<Verdict> Requests::begin(Micros now, Job& job, Verdict&& send) {
+    const Denial denial = job.out ? Denial::attemptOut : denialOf(now, job, send);
+    if (denial == Denial::attemptOut) {
+        checks_.require(denial, "send", job.request.label);
+        return {};
+    }
+    job.sentTo = localityOf(send.host);
     job.send = std::move(send);
     job.sentAt = now;
     job.out = true;
@@ -131,13 +192,26 @@
     if (job.send.timeout.count() > 0) until = std::min(until, now + job.send.timeout);
     timeouts_.emplace(until, job.request.id, job.send.attempt);
     ++counters_.sent;
+    if (!checks_.require(denial, "send", job.request.label))
+        return close(now, job, {.outcome = Outcome::notSent});
+    if (Trace::on())
+        Trace::write("send", {{"request", job.request.label},
+                              {"attempt", std::to_string(job.send.attempt)},
+                              {"host", job.send.host},
+                              {"source", job.send.source}});
     carrier_.send(now, job.request, job.send);
+    return {};
 }
 
 std::vector<Verdict> Requests::close(Micros now, Job& job, AttemptReport report) {
     job.out = false;
     job.last = report.outcome;
-    if (mayHaveRun(report.outcome) && !job.mayHaveRun) job.mayHaveRun = job.sentAt;
+    if (mayHaveRun(report.outcome) && !job.earlier) job.earlier = EarlierRun{job.sentAt, job.sentTo};
+    if (Trace::on())
+        Trace::write("end", {{"request", job.request.label},
+                             {"attempt", std::to_string(job.send.attempt)},
+                             {"outcome", nameOf(report.outcome)},
+                             {"took_us", std::to_string((now - job.sentAt).count())}});
     const Micros until = job.send.timeout.count() > 0
                              ? std::min(job.request.deadline, job.sentAt + job.send.timeout)
                              : job.request.deadline;
@@ -150,6 +224,7 @@
 }
 
 void Requests::finish(Job& job, Reply&& reply) {
+    if (!checks_.require(mayAnswer({.answered = job.answered}), "answer", job.request.label)) return;
     job.answered = true;
     --open_;
     using Word = Reply::Word;
--- a/src/core/requests.hpp
+++ b/src/core/requests.hpp
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "decisions.hpp"
+#include "rules.hpp"
 
 namespace lotuslead::core {
 
@@ -52,11 +52,17 @@
     virtual bool cancel(Micros now, RequestId request, int attempt) = 0;
 };
 
+inline constexpr std::size_t kOutcomes = 9;
+inline constexpr std::size_t kGiveUps = 5;
+const char* nameOf(Outcome outcome);
+const char* nameOf(GiveUp why);
+
 struct Counters {
     std::uint64_t taken = 0, served = 0, unchanged = 0, refused = 0, failed = 0, gone = 0, overdue = 0;
     std::uint64_t own = 0;  // served from a copy of the gateway's own
     std::uint64_t sent = 0, cancelled = 0;
-    std::array<std::uint64_t, 9> outcomes{};  // by Outcome
+    std::array<std::uint64_t, kOutcomes> outcomes{};  // by Outcome
+    std::array<std::uint64_t, kGiveUps> gaveUp{};     // refused or failed without an answer, by GiveUp
 };
 
 class Requests {
@@ -76,26 +82,33 @@
     void turn(Micros now);  // what is due by the clock
     Micros nextTurn() const;
 
-    // Whether the attempt may still be begun; asked right before its first byte.
-    bool holds(Micros now, RequestId request, int attempt) const;
+    // Whether the attempt, picked earlier, may still be begun; asked right before its first byte.
+    bool mayBegin(Micros now, RequestId request, int attempt);
 
+    RuleChecks& checks() { return checks_; }
+    const RuleChecks& checks() const { return checks_; }
     std::size_t open() const { return open_; }
     const Counters& counters() const { return counters_; }
 
 private:
     struct Job {
         Request request;
+        ClassSettings rules;  // as they were when it was taken
         Answer answer;
         Verdict send;
         Micros sentAt{};
         bool out = false;  // an attempt is
         bool answered = false;
         std::optional<Outcome> last;
-        std::optional<Micros> mayHaveRun;  // an attempt sent then, the first such
+        Locality sentTo;
+        std::optional<EarlierRun> earlier;
     };
 
     void follow(Micros now, std::vector<Verdict> verdicts);
-    void begin(Micros now, Job& job, Verdict&& send);
+    std::vector<Verdict> begin(Micros now, Job& job, Verdict&& send);
+    Denial denialOf(Micros now, const Job& job, const Verdict& send) const;
+    Locality localityOf(const std::string& host) const;
+    void giveUp(Micros now, Job& job, const Verdict& verdict);
     void finish(Job& job, Reply&& reply);
     std::vector<Verdict> close(Micros now, Job& job, AttemptReport report);
     void forgetIfDone(RequestId request);
@@ -106,6 +119,7 @@
     std::unordered_map<RequestId, Job> jobs_;
     std::set<std::tuple<Micros, RequestId, int>> timeouts_;
     std::size_t open_ = 0;
+    RuleChecks checks_;
     Counters counters_;
 };
 
--- a/src/core/service.hpp
+++ b/src/core/service.hpp
@@ -3,10 +3,10 @@
 
 #include <cstdint>
 #include <cstdio>
-#include <initializer_list>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "requests.hpp"
 
@@ -49,9 +49,9 @@
     virtual void printCounters() const = 0;
 };
 
-using Figures = std::initializer_list<std::pair<const char*, std::uint64_t>>;
+using Figure = std::pair<const char*, std::uint64_t>;
 
-inline void printFigures(const std::string& name, const char* what, Figures figures) {
+inline void printFigures(const std::string& name, const char* what, const std::vector<Figure>& figures) {
     std::string text = name + ": " + what;
     for (const auto& [key, value] : figures) text += " " + std::string(key) + "=" + std::to_string(value);
     std::fprintf(stderr, "%s\n", text.c_str());
@@ -69,18 +69,19 @@
                   {"overdue", r.overdue},
                   {"own", r.own},
                   {"open", requests.open()}});
-    const auto of = [&](Outcome outcome) { return r.outcomes[static_cast<std::size_t>(outcome)]; };
-    printFigures(name, "attempts",
-                 {{"sent", r.sent},
-                  {"served", of(Outcome::served)},
-                  {"error", of(Outcome::error)},
-                  {"not_taken", of(Outcome::notTaken)},
-                  {"timed_out", of(Outcome::timedOut)},
-                  {"no_connection", of(Outcome::noConnection)},
-                  {"broken", of(Outcome::broken)},
-                  {"cancelled", of(Outcome::cancelled)},
-                  {"not_sent", of(Outcome::notSent)},
-                  {"no_copy", of(Outcome::noCopy)}});
+    std::vector<Figure> attempts{{"sent", r.sent}};
+    for (std::size_t i = 0; i < kOutcomes; ++i)
+        attempts.emplace_back(nameOf(static_cast<Outcome>(i)), r.outcomes[i]);
+    printFigures(name, "attempts", attempts);
+    std::vector<Figure> gaveUp;
+    for (std::size_t i = 0; i < kGiveUps; ++i)
+        gaveUp.emplace_back(nameOf(static_cast<GiveUp>(i)), r.gaveUp[i]);
+    printFigures(name, "gave_up", gaveUp);
+    std::vector<Figure> rules{{"violations", requests.checks().violations()}};
+    const RuleChecks::Counts& heldBack = requests.checks().heldBack();
+    for (std::size_t i = 0; i < heldBack.size(); ++i)
+        if (heldBack[i] > 0) rules.emplace_back(nameOf(static_cast<Denial>(i)), heldBack[i]);
+    printFigures(name, "rules", rules);
 }
 
 // Beyond the monotonic clock: the Unix clock stands on the wire only, and by this one offset. Between two
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,7 +66,8 @@
     const bool catchingUp = std::any_of(services_.begin(), services_.end(),
                                         [](const auto& service) { return service->catchingUp(); });
     const Micros longest = catchingUp ? kLongestCatchUp : kLongestStart;
-    if ((!ready || meeting_.awaitsHandOver()) && loop_.now() - startedAt_ < longest) return;
+    const core::StartFacts facts{ready, meeting_.awaitsHandOver(), loop_.now() - startedAt_ >= longest};
+    if (core::mayServe(facts) != core::Denial::none) return;
     if (catchingUp) std::fprintf(stderr, "lotuslead: opens without all that the event bus has to tell\n");
     if (!openAddresses(AddressSet::all)) return;
     phase_ = Phase::serving;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr Micros kAtOnce{1000};      // a wait as short found something that had come before
 constexpr Micros kWatchAgain{2000};  // after the kernel was short of memory
 
 }  // namespace
@@ -92,8 +93,12 @@
         wait = static_cast<int>((left + 999) / 1000);
     }
     std::array<epoll_event, 256> events;
+    const Micros entered = clock();
     const int count = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait);
-    now_ = clock();
+    const Micros before = std::exchange(now_, clock());
+    const Micros overslept = now_ - entered - std::chrono::milliseconds{wait};
+    const bool readyAtOnce = now_ - entered < kAtOnce;
+    heldUp_ = readyAtOnce ? entered - before : std::max(Micros{0}, overslept);
     // Handlers are looked up one by one: an earlier one may have removed a later one.
     std::unordered_map<HandlerId, std::uint32_t> due;
     due.swap(again_);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -38,6 +38,11 @@
     Loop();
 
     Micros now() const { return now_; }
+    // The clock itself, where a long turn would make now() too early.
+    static Micros clock();
+    // For so long what is read in this turn may have waited: the turn before was as long, or the process was
+    // held up.
+    Micros heldUp() const { return heldUp_; }
     HandlerId add(int fd, std::uint32_t events, Handler& handler, Priority priority = Priority::usual);
     void remove(HandlerId id, int fd);
     void again(HandlerId id, std::uint32_t events);  // in the next turn, without a new edge
@@ -59,7 +64,6 @@
         std::uint32_t events = 0;
     };
 
-    static Micros clock();
     bool watch(HandlerId id, int fd, std::uint32_t events);
     void watchTheUnwatched();
     void runPosted();
@@ -67,6 +71,7 @@
 
     Descriptor epoll_;
     Micros now_;
+    Micros heldUp_{};
     std::uint64_t nextId_ = 1;
     std::unordered_map<HandlerId, Handler*> handlers_;
     std::map<HandlerId, Unwatched> unwatched_;  // those that the kernel had no memory for
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "../support/trace.hpp"
 #include "call_form.hpp"
 
 namespace lotuslead::platform {
@@ -85,6 +86,9 @@
         endIfAnswered();
         settle();
     }
+    core::CloseFacts closeFacts() const {
+        return {open_.size(), unheard() || !stream_.quiet(), stream_.unsent()};
+    }
     Micros lastUsed() const { return lastUsed_; }  // before its first message: when something last came
 
     // Clients are to go: an end where nothing is open, unread or still on its way to the client, which then
@@ -97,6 +101,7 @@
         if (ending_ || !open_.empty() || unheard() || !stream_.quiet()) return;
         if (parser_.midMessage() && !last) return;
         if (!used_ && now - connectedAt_ < kSilentDrained) return;
+        if (!owner_.requests_.checks().require(core::mayClose(closeFacts()), "close", "a connection")) return;
         ++owner_.counters_.drained;
         retired_ = true;
         endIfAnswered();
@@ -118,6 +123,11 @@
     }
 
 private:
+    // A message that was read and not taken yet.
+    struct Held {
+        std::vector<std::string> words;
+        Micros arrivedAt{};
+    };
     struct Call {
         RequestId id = 0;
         std::string label;
@@ -129,6 +139,7 @@
     bool streamData(std::string_view data) override {
         lastByte_ = owner_.loop_.now();
         if (!used_) lastUsed_ = lastByte_;
+        if (ahead_.empty()) aheadSince_ = lastByte_ - owner_.loop_.heldUp();
         ahead_.append(data);
         takeMessages();
         return true;
@@ -144,14 +155,16 @@
             const auto status = parser_.feed(rest);
             malformed_ = status == Status::malformed;
             if (status != Status::message) continue;
-            held_.push_back(parser_.take());
-            heldBytes_ += bytesOf(held_.back());
+            held_.push_back({parser_.take(), aheadSince_});
+            heldBytes_ += bytesOf(held_.back().words);
         }
         ahead_.erase(0, ahead_.size() - rest.size());
         takeBackHeld();
         bool fits = true;
-        for (int i = 0; i < kMessagesATurn && fits && !held_.empty() && !ending_ && !behind(); ++i)
-            fits = take(fromHeld(0));
+        for (int i = 0; i < kMessagesATurn && fits && !held_.empty() && !ending_ && !behind(); ++i) {
+            const Micros arrivedAt = held_.front().arrivedAt;
+            fits = take(fromHeld(0), arrivedAt);
+        }
         if (stream_.closed() || ending_) return;
         if (!fits || (malformed_ && held_.empty())) return spoilt();
         endIfAnswered();
@@ -163,12 +176,14 @@
     // one is given up though the client does not read its answers.
     void takeBackHeld() {
         for (std::size_t at = 0; at < held_.size(); ++at) {
-            if (held_[at].size() < 2 || held_[at][0] != "CANCEL" || !isTag(held_[at][1])) continue;
-            const std::string tag = held_[at][1];
+            const std::vector<std::string>& words = held_[at].words;
+            if (words.size() < 2 || words[0] != "CANCEL" || !isTag(words[1])) continue;
+            const std::string tag = words[1];
+            const auto calls = [&](const std::vector<std::string>& other) {
+                return other.size() > 2 && other[0] == "CALL" && other[1] == tag;
+            };
             std::size_t call = 0;
-            while (call < at &&
-                   !(held_[call].size() > 2 && held_[call][0] == "CALL" && held_[call][1] == tag))
-                ++call;
+            while (call < at && !calls(held_[call].words)) ++call;
             const bool open = open_.count(tag) > 0, held = call < at;
             if (open == held) continue;  // in its turn
             fromHeld(at--);
@@ -182,7 +197,7 @@
         }
     }
     std::vector<std::string> fromHeld(std::size_t at) {
-        std::vector<std::string> words = std::move(held_[at]);
+        std::vector<std::string> words = std::move(held_[at].words);
         held_.erase(held_.begin() + static_cast<std::ptrdiff_t>(at));
         heldBytes_ -= bytesOf(words);
         return words;
@@ -220,6 +235,7 @@
     }
     void endIfAnswered() {
         if (!retired_ || !open_.empty() || unheard() || std::exchange(ending_, true)) return;
+        if (Trace::on()) Trace::write("client_close", {{"client", std::to_string(number_)}});
         stopWatch();
         stream_.closeGently(kGentle);
     }
@@ -231,7 +247,12 @@
     }
 
     void streamDrained() override { settle(); }
-    void streamEnded(net::Stream::End) override {
+    void streamEnded(net::Stream::End why) override {
+        ++(why == net::Stream::End::closedByPeer ? owner_.counters_.endedByClient : owner_.counters_.reset);
+        if (Trace::on())
+            Trace::write("client_end", {{"client", std::to_string(number_)},
+                                        {"why", why == net::Stream::End::closedByPeer ? "closed" : "reset"},
+                                        {"open", std::to_string(open_.size())}});
         abandon();
         owner_.forget(this);
     }
@@ -266,12 +287,12 @@
 
     // ----- messages -----
 
-    bool take(std::vector<std::string> words) {
+    bool take(std::vector<std::string> words, Micros arrivedAt) {
         if (words.size() < 2 || !isTag(words[1])) return false;
         const bool first = !std::exchange(used_, true);
         if (first) stopWatch();
         lastUsed_ = owner_.loop_.now();
-        if (words[0] == "CALL") return call(words);
+        if (words[0] == "CALL") return call(words, arrivedAt);
         if (words[0] == "CANCEL") {
             takeBack(words[1]);
             return true;
@@ -291,7 +312,7 @@
         if (owner_.loop_.now() - call.takenAt < kTakenBackAtOnce) strike();
     }
 
-    bool call(std::vector<std::string>& words) {
+    bool call(std::vector<std::string>& words, Micros arrivedAt) {
         if (words.size() < 3) return false;
         const std::string tag = words[1];
         if (open_.count(tag) > 0) {
@@ -301,15 +322,8 @@
             return true;
         }
         lastCall_ = owner_.loop_.now();
-        if (owner_.refuses()) {
-            ++owner_.counters_.drainRefused;
-            answer(tag, "SHED", owner_.noRoomFields(), {});
-            return true;
-        }
-        if (retired_ || open_.size() >= kOpenAConnection) {
-            ++owner_.counters_.beyondBound;
-            answer(tag, "SHED", owner_.noRoomFields(), {});
-            strike();
+        if (const auto denial = core::mayTake(takeFacts()); denial != core::Denial::none) {
+            refuse(tag, denial);
             return true;
         }
         const Fields fields(words.size() > 3 ? std::string_view(words[3]) : std::string_view{});
@@ -330,8 +344,7 @@
             return true;
         }
         if (!owner_.roomForOne(counted_)) {
-            ++owner_.counters_.noRoom;
-            answer(tag, "SHED", owner_.noRoomFields(), {});
+            refuse(tag, core::Denial::noMemory);
             return true;
         }
         request.id = owner_.nextId_++;
@@ -344,14 +357,40 @@
         const auto giveUp = owner_.words_.settings.classes[static_cast<std::size_t>(known->second)].giveUp;
         const Micros wait = patience ? Micros{std::chrono::milliseconds{*patience}}
                                      : std::chrono::duration_cast<Micros>(giveUp);
-        request.deadline = now + std::max(Micros{1ms}, wait - kWayBack);
+        request.deadline = arrivedAt + std::max(Micros{1ms}, wait - kWayBack);
         open_[tag] = {request.id, request.label, now};
+        if (Trace::on())
+            Trace::write("call",
+                         {{"client", std::to_string(number_)}, {"tag", tag}, {"request", request.label}});
         owner_.labels_.insert(request.label);
         owner_.requests_.take(now, std::move(request),
                               [this, tag](RequestId, Reply&& reply) { finish(tag, std::move(reply)); });
         return true;
     }
 
+    core::TakeFacts takeFacts() const {
+        core::TakeFacts facts;
+        facts.ending = owner_.lastCall_;
+        facts.draining = owner_.refuses();
+        facts.connectionRetired = retired_;
+        facts.openOnConnection = open_.size();
+        facts.mostOnConnection = kOpenAConnection;
+        return facts;
+    }
+
+    void refuse(const std::string& tag, core::Denial denial) {
+        using core::Denial;
+        const bool useless = denial == Denial::connectionRetired || denial == Denial::tooManyOpen;
+        ++(useless                      ? owner_.counters_.beyondBound
+           : denial == Denial::noMemory ? owner_.counters_.noRoom
+                                        : owner_.counters_.drainRefused);
+        if (Trace::on())
+            Trace::write("refuse",
+                         {{"client", std::to_string(number_)}, {"tag", tag}, {"why", nameOf(denial)}});
+        answer(tag, "SHED", owner_.noRoomFields(), {});
+        if (useless) strike();
+    }
+
     void release(const std::string& tag) {
         const auto found = open_.find(tag);
         if (found == open_.end()) return;
@@ -419,9 +458,11 @@
     }
 
     Front& owner_;
+    std::uint64_t number_ = ++owner_.lastClient_;  // in the trace
     net::RespParser parser_;
-    std::string ahead_;                          // read, and not yet in words
-    std::deque<std::vector<std::string>> held_;  // in words, and not yet taken
+    std::string ahead_;      // read, and not yet in words
+    Micros aheadSince_{};    // the first of those bytes
+    std::deque<Held> held_;  // in words, and not yet taken
     std::size_t heldBytes_ = 0;
     bool malformed_ = false;                      // what follows those can't be read
     std::unordered_map<std::string, Call> open_;  // by tag
@@ -553,6 +594,7 @@
     const bool muteFirst = mute && (!resting || !mute->young() || 2 * fresh >= mostClients_);
     Client* one = muteFirst ? mute : resting;
     if (!one) return false;
+    if (!requests_.checks().require(core::mayClose(one->closeFacts()), "close", "a connection")) return false;
     ++(one == resting ? counters_.closedIdle : one->half() ? counters_.halfMessages : counters_.silent);
     one->abandon();
     forget(one);
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -23,7 +23,7 @@
     struct Counters {
         std::uint64_t connections = 0, turnedAway = 0, closedIdle = 0, silent = 0, halfMessages = 0,
                       malformed = 0, unusable = 0, beyondBound = 0, retired = 0, noRoom = 0, dropped = 0,
-                      checks = 0, drained = 0, drainRefused = 0;
+                      checks = 0, drained = 0, drainRefused = 0, endedByClient = 0, reset = 0;
     };
 
     Front(net::Loop& loop, core::Requests& requests, const settings::Configuration& configuration);
@@ -88,6 +88,7 @@
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
     RequestId nextId_ = 1;
+    std::uint64_t lastClient_ = 0;
     std::unique_ptr<net::Listener> listener_;
     net::FormerListener former_;
     std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -148,7 +148,7 @@
           front_(loop_, requests_, configuration_),
           bus_(loop_, [this](const settings::BusEvent& event) { apply(event); }) {
         carrier_.listen({[this](RequestId request, int attempt) {
-                             return requests_.holds(loop_.now(), request, attempt);
+                             return requests_.mayBegin(loop_.now(), request, attempt);
                          },
                          [this](core::AttemptEnd end) { before_.ended(loop_.now(), std::move(end)); }});
         before_.listen([this](core::AttemptEnd end) { requests_.ended(loop_.now(), std::move(end)); });
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -32,6 +32,8 @@
                         {"checks", f.checks},
                         {"drained", f.drained},
                         {"drain_refused", f.drainRefused},
+                        {"ended_by_client", f.endedByClient},
+                        {"reset", f.reset},
                         {"clients", front_.clients()}});
     core::printFigures(name, "stores",
                        {{"connects", s.connects},
--- a/src/platform/store_words.hpp
+++ b/src/platform/store_words.hpp
@@ -39,13 +39,13 @@
     return std::nullopt;
 }
 
-inline std::string fieldsOf(const core::Request& request, const core::Verdict& send, core::Micros waited) {
+inline std::string fieldsOf(const core::Request& request, const core::Verdict& send, core::Micros left) {
     const auto ms = [](core::Micros t) { return static_cast<std::int64_t>(t.count() / 1000); };
     FieldWriter fields;
     fields.add("profile", request.className);
     fields.add("thing", request.object);
     fields.add("nth", request.part);
-    fields.add("max", std::max<std::int64_t>(1, ms(send.timeout - waited)));
+    fields.add("max", std::max<std::int64_t>(1, ms(left)));
     if (!request.key.empty()) fields.add("replay", request.key);
     if (!send.source.empty()) fields.add("via", send.source);
     if (send.keepRank > 0) fields.add("tier", send.keepRank);
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -291,7 +291,7 @@
             const Waiting& next = waiting_.front();
             const Micros now = owner_.loop_.now();
             const Micros waited = now - next.send.pickedAt;
-            if (waited.count() > 0 && !owner_.callbacks_.holds(next.send.request, next.send.attempt)) {
+            if (waited.count() > 0 && !owner_.callbacks_.mayBegin(next.send.request, next.send.attempt)) {
                 ++owner_.counters_.heldBack;
                 report(next.send.request, next.send.attempt, Outcome::notSent);
                 waiting_.pop_front();
@@ -299,7 +299,7 @@
             }
             const core::Request& request = *next.request;
             std::string words;
-            const std::string fields = fieldsOf(request, next.send, waited);
+            const std::string fields = fieldsOf(request, next.send, leftOf(next));
             net::appendResp(words, {"PULL", request.label, fields, request.body});
             // No room for its first byte: it waits on, and is looked at again before it goes.
             if (!stream_.writeIfRoom(std::move(words))) return;
@@ -315,6 +315,12 @@
         }
     }
 
+    // What its client still waits, by the clock itself: the turn may be long by now.
+    Micros leftOf(const Waiting& waiting) const {
+        const Micros now = net::Loop::clock();
+        return std::min(waiting.request->deadline - now, waiting.send.pickedAt + waiting.send.timeout - now);
+    }
+
     // Most are never heard of again: an answer that is to come at all comes within seconds.
     void remember(const std::string& label) {
         constexpr std::size_t kMany = 256;
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -19,7 +19,7 @@
 class Stores : public core::Carrier {
 public:
     struct Callbacks {
-        std::function<bool(RequestId, int)> holds;  // may this attempt still be begun?
+        std::function<bool(RequestId, int)> mayBegin;  // may this attempt still be begun?
         std::function<void(core::AttemptEnd)> ended;
     };
     struct Counters {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -230,7 +230,7 @@
             else if (e.outcome != Outcome::cancelled || p.retryAfterCancel)
                 retryOrGiveUp(now, p, e.blameless, out);
             else
-                giveUp(now, p, out);
+                giveUp(p, GiveUp::cancelled, out);
         }
         forgetIfDone(e.request);
     }
@@ -694,11 +694,11 @@
     // ----- sending -----
 
     void sendOrGiveUp(Time now, Pending& p, Actions& out) {
-        const Time left = p.request.deadline - now;
-        if (left <= fromSeconds(p.work) || static_cast<int>(p.attempts.size()) >= p.set->mostTries)
-            return giveUp(now, p, out);
+        const bool late = p.request.deadline - now <= fromSeconds(p.work);
+        if (late || static_cast<int>(p.attempts.size()) >= p.set->mostTries)
+            return giveUp(p, late ? GiveUp::noTime : GiveUp::mostAttempts, out);
         const Route route = chooseRoute(now, p);
-        route.ok() ? send(now, p, route, out) : giveUp(now, p, out);
+        route.ok() ? send(now, p, route, out) : giveUp(p, GiveUp::noRoute, out);
     }
 
     void send(Time now, Pending& p, const Route& route, Actions& out) {
@@ -819,7 +819,7 @@
     }
 
     void retryOrGiveUp(Time now, Pending& p, bool blameless, Actions& out) {
-        if (!p.retryAfterCancel && !blameless && !extra_.spend()) return giveUp(now, p, out);
+        if (!p.retryAfterCancel && !blameless && !extra_.spend()) return giveUp(p, GiveUp::noAllowance, out);
         p.retryAfterCancel = false;
         p.staleWillDo = true;
         sendOrGiveUp(now, p, out);
@@ -848,10 +848,10 @@
         return !perhapsRun || (c.effect == Effect::keyed && c.group == RepeatGroup::all);
     }
 
-    // Given up on means answered at once; the client is told when to come back.
-    void giveUp(Time, Pending& p, Actions& out) {
+    void giveUp(Pending& p, GiveUp why, Actions& out) {
         const Time hint = p.set->retryHints ? std::min(kRetryHint, p.set->maxRetryHint) : Time{0};
-        refusalAllowed(p) ? out.push_back(Refuse{p.request.id, hint}) : out.push_back(Fail{p.request.id});
+        refusalAllowed(p) ? out.push_back(Refuse{p.request.id, hint, why})
+                          : out.push_back(Fail{p.request.id, why});
         finish(p, out);
         forgetIfDone(p.request.id);
     }
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -286,7 +286,7 @@
         for (const Waiting& w : std::exchange(server.waiting, {})) tell(w, Outcome::noConnection);
     while (!server.waiting.empty()) {
         const Waiting next = server.waiting.front();
-        if (loop_.now() > next.send.pickedAt && !callbacks_.holds(next.send.request, next.send.attempt)) {
+        if (loop_.now() > next.send.pickedAt && !callbacks_.mayBegin(next.send.request, next.send.attempt)) {
             server.waiting.pop_front();
             ++counters_.heldBack;
             tell(next, Outcome::notSent);
--- a/src/repository/upstreams.hpp
+++ b/src/repository/upstreams.hpp
@@ -23,7 +23,7 @@
 class Upstreams : public core::Carrier {
 public:
     struct Callbacks {
-        std::function<bool(RequestId, int)> holds;
+        std::function<bool(RequestId, int)> mayBegin;
         std::function<void(core::AttemptEnd)> ended;
     };
     struct Counters {
--- /dev/null
+++ b/src/support/trace.hpp
@@ -0,0 +1,40 @@
+// A trace of what happens to requests and connections, one line an event, for following one request through
+// the process and from process to process. Off unless LB_TRACE is set; then it goes to standard error:
+//
+//     trace at=81342.123456 event=send request=9b1f03aa5c7e2d41 attempt=0 host=s-00c41f7a
+//
+// `at` counts seconds on the monotonic clock, which all processes of a machine share.
+#pragma once
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lotuslead {
+
+class Trace {
+public:
+    using Fields = std::initializer_list<std::pair<const char*, std::string>>;
+
+    static bool on() {
+        static const bool isOn = std::getenv("LB_TRACE") != nullptr;
+        return isOn;
+    }
+
+    static void write(const char* event, Fields fields) {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        const std::chrono::duration<double> seconds = now;
+        char head[96];
+        std::snprintf(head, sizeof head, "trace at=%.6f event=%s", seconds.count(), event);
+        std::string line = head;
+        for (const auto& [name, value] : fields) line += " " + std::string(name) + "=" + value;
+        line += "\n";
+        std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+};
+
+}  // namespace lotuslead
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,116 @@
+// The rules on what may be begun, over plain facts.
+#include "core/rules.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lotuslead::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+ClassSettings classOf(Effect effect, RepeatGroup group = RepeatGroup::all) {
+    ClassSettings rules;
+    rules.effect = effect;
+    rules.group = group;
+    rules.repeatWindow = 3s;
+    return rules;
+}
+
+SendFacts goodSend() {
+    SendFacts facts;
+    facts.now = 10s;
+    facts.deadline = 11s;
+    facts.host = Readiness::ready;
+    facts.to = {1, 7};
+    return facts;
+}
+
+TEST(Rules, ASendWantsAWaitingClientAndReadyHosts) {
+    const ClassSettings rules = classOf(Effect::unsafe);
+    EXPECT_EQ(maySend(rules, goodSend(), {}), Denial::none);
+    const auto with = [&](auto change) {
+        SendFacts facts = goodSend();
+        change(facts);
+        return maySend(rules, facts, {});
+    };
+    EXPECT_EQ(with([](SendFacts& f) { f.answered = true; }), Denial::answered);
+    EXPECT_EQ(with([](SendFacts& f) { f.attemptOut = true; }), Denial::attemptOut);
+    EXPECT_EQ(with([](SendFacts& f) { f.now = f.deadline; }), Denial::deadlinePassed);
+    EXPECT_EQ(with([](SendFacts& f) { f.host = Readiness::draining; }), Denial::hostNotReady);
+    EXPECT_EQ(with([](SendFacts& f) { f.host = Readiness::gone; }), Denial::hostNotReady);
+    EXPECT_EQ(with([](SendFacts& f) { f.source = Readiness::draining; }), Denial::sourceNotReady);
+    EXPECT_EQ(with([](SendFacts& f) { f.purgedSincePick = true; }), Denial::purgedSincePick);
+}
+
+TEST(Rules, WhatMayHaveRunIsRepeatedOnlyAsItsClassAllows) {
+    const EarlierRun earlier{8s, {1, 7}};
+    EXPECT_EQ(mayRepeat(classOf(Effect::unsafe), {}, 10s, {1, 7}), Denial::none);
+    EXPECT_EQ(mayRepeat(classOf(Effect::unsafe), earlier, 10s, {1, 7}), Denial::runsTwice);
+    EXPECT_EQ(mayRepeat(classOf(Effect::safe), earlier, 99s, {2, 8}), Denial::none);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed), earlier, 10s, {2, 8}), Denial::none);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed), earlier, 11s, {1, 7}), Denial::windowPassed);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed, RepeatGroup::zone), earlier, 10s, {1, 8}), Denial::none);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed, RepeatGroup::zone), earlier, 10s, {2, 7}), Denial::otherGroup);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed, RepeatGroup::cell), earlier, 10s, {2, 7}), Denial::none);
+    EXPECT_EQ(mayRepeat(classOf(Effect::keyed, RepeatGroup::cell), earlier, 10s, {1, 8}), Denial::otherGroup);
+}
+
+TEST(Rules, ARefusalPromisesThatNothingHasHappened) {
+    EXPECT_EQ(mayRefuse(classOf(Effect::unsafe), false), Denial::none);
+    EXPECT_EQ(mayRefuse(classOf(Effect::unsafe), true), Denial::promisesNoEffect);
+    EXPECT_EQ(mayRefuse(classOf(Effect::safe), true), Denial::none);
+    EXPECT_EQ(mayRefuse(classOf(Effect::keyed), true), Denial::none);
+    EXPECT_EQ(mayRefuse(classOf(Effect::keyed, RepeatGroup::zone), true), Denial::promisesNoEffect);
+    EXPECT_EQ(mayRefuse(classOf(Effect::keyed, RepeatGroup::cell), true), Denial::promisesNoEffect);
+}
+
+TEST(Rules, AnswersAreGivenOnceAndCopiesConfirmedOnlyWhenNamed) {
+    EXPECT_EQ(mayAnswer({}), Denial::none);
+    EXPECT_EQ(mayAnswer({.answered = true}), Denial::answered);
+    EXPECT_EQ(mayAnswer({.unchanged = true}), Denial::notNamed);
+    EXPECT_EQ(mayAnswer({.unchanged = true, .copyNamed = true}), Denial::none);
+}
+
+TEST(Rules, RequestsAreTakenWithinTheBoundsOfProcessAndConnection) {
+    const TakeFacts good{.openOnConnection = 31, .mostOnConnection = 32};
+    EXPECT_EQ(mayTake(good), Denial::none);
+    const auto with = [&](auto change) {
+        TakeFacts facts = good;
+        change(facts);
+        return mayTake(facts);
+    };
+    EXPECT_EQ(with([](TakeFacts& f) { f.ending = true; }), Denial::ending);
+    EXPECT_EQ(with([](TakeFacts& f) { f.draining = true; }), Denial::draining);
+    EXPECT_EQ(with([](TakeFacts& f) { f.connectionRetired = true; }), Denial::connectionRetired);
+    EXPECT_EQ(with([](TakeFacts& f) { f.openOnConnection = 32; }), Denial::tooManyOpen);
+    EXPECT_EQ(with([](TakeFacts& f) { f.hasRoom = false; }), Denial::noMemory);
+}
+
+TEST(Rules, AConnectionIsClosedOnlyWhereNothingIsOwedOnIt) {
+    EXPECT_EQ(mayClose({}), Denial::none);
+    EXPECT_EQ(mayClose({.openRequests = 1}), Denial::requestOpen);
+    EXPECT_EQ(mayClose({.unreadBytes = true}), Denial::unreadBytes);
+    EXPECT_EQ(mayClose({.unsentBytes = 1}), Denial::unsentAnswer);
+}
+
+TEST(Rules, TheServiceOpensOnceItKnowsEnoughOrHasWaitedLong) {
+    EXPECT_EQ(mayServe({}), Denial::notPrepared);
+    EXPECT_EQ(mayServe({.prepared = true}), Denial::none);
+    EXPECT_EQ(mayServe({.prepared = true, .awaitsHandOver = true}), Denial::notPrepared);
+    EXPECT_EQ(mayServe({.waitedLongEnough = true}), Denial::none);
+}
+
+TEST(Rules, DenialsOfChosenStepsAreViolationsAndLaterOnesAreNot) {
+    RuleChecks checks;
+    EXPECT_TRUE(checks.allows(Denial::none));
+    EXPECT_TRUE(checks.require(Denial::none, "send", "a"));
+    EXPECT_FALSE(checks.allows(Denial::hostNotReady));
+    EXPECT_EQ(checks.violations(), 0U);
+    EXPECT_FALSE(checks.require(Denial::runsTwice, "send", "a"));
+    EXPECT_EQ(checks.violations(), 1U);
+    EXPECT_EQ(checks.heldBack()[static_cast<std::size_t>(Denial::hostNotReady)], 1U);
+    EXPECT_STREQ(nameOf(Denial::notPrepared), "not_prepared");
+}
+
+}  // namespace
+}  // namespace lotuslead::core
