Hear what has come before acting after an interrupted wait, and count waits in unread sockets

A process that was stopped and goes on gets EINTR from epoll_wait; its timers ran before anything was read, and began attempts for clients that had left. What waited in sockets meanwhile, or in an inherited listening socket before the process served, was told to stores with its whole patience. Change: Loop::await asks again at once after EINTR; heldUp() covers the last three turns; a turn of over 50 ms begins no attempt, the next one does; where something may have waited the kernel is asked when the last byte came (TCP_INFO).

--- a/bench/soak/gateways.cpp
+++ b/bench/soak/gateways.cpp
@@ -172,8 +172,8 @@
     if (between(0, 2) == 0) ::kill(process_.pid, SIGHUP);
     if (between(0, 3) == 0) holdUp();
     awaitEnd(process_, told, "after SIGTERM");
-    judge_.hasEnded(plan_.number);
     start();
+    judge_.hasEnded(plan_.number);  // what came while nobody listened waits in the socket, if it is inherited
 }
 
 void Gateway::killAndRestart() {
@@ -181,8 +181,8 @@
     judge_.killed(plan_.number);
     ::kill(process_.pid, SIGKILL);
     ::waitpid(process_.pid, nullptr, 0);
-    judge_.killed(plan_.number);
     start();
+    judge_.killed(plan_.number);
 }
 
 void Gateway::holdUp() {
@@ -191,10 +191,10 @@
     ::kill(process_.pid, SIGSTOP);
     const TimePoint begun = Clock::now();
     std::this_thread::sleep_for(time);
-    ::kill(process_.pid, SIGCONT);
     const auto held = std::chrono::duration_cast<Millis>(Clock::now() - begun);
     heldUp_ += held;
     judge_.stopped(plan_.number, held);
+    ::kill(process_.pid, SIGCONT);
 }
 
 void Gateway::reload() {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int kMostInterruptions = 16;
 constexpr Micros kAtOnce{1000};  // a wait as short found something that had come before
 // A process that was held up for longer within a wait sees it by the clock (heldUp).
 constexpr Micros kLongestWait{100'000};
@@ -83,6 +84,25 @@
     runPosted();
 }
 
+// A wait that was interrupted, as by a stop of the process, says nothing of what has come meanwhile: it is
+// asked for before anything else is done, since timers that are due would act on clients who have long left.
+int Loop::await(Events& events, int wait) {
+    const Micros entered = clock();
+    const auto poll = [&](int millis) {
+        return ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), millis);
+    };
+    int count = poll(wait);
+    const bool interrupted = count < 0;
+    for (int i = 0; i < kMostInterruptions && count < 0 && errno == EINTR; ++i) count = poll(0);
+    const Micros before = std::exchange(now_, clock());
+    const Micros slept = now_ - entered;
+    const Micros overslept = std::max(Micros{0}, slept - std::chrono::milliseconds{wait});
+    const Micros held = interrupted ? slept : slept < kAtOnce ? entered - before : overslept;
+    std::rotate(heldUp_.begin(), heldUp_.begin() + 1, heldUp_.end());
+    heldUp_.back() = held;
+    return count;
+}
+
 void Loop::turn(Micros until) {
     watchTheUnwatched();
     if (!unwatched_.empty()) until = std::min(until, now_ + kWatchAgain);
@@ -94,16 +114,8 @@
         // Rounded up: a turn that comes too early would only spin.
         wait = static_cast<int>(((until - now_).count() + 999) / 1000);
     }
-    std::array<epoll_event, 256> events;
-    const Micros entered = clock();
-    const int count = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait);
-    const Micros before = std::exchange(now_, clock());
-    const Micros overslept = now_ - entered - std::chrono::milliseconds{wait};
-    const bool readyAtOnce = now_ - entered < kAtOnce;
-    // A stop ends the wait without a word on what has come meanwhile (EINTR): the next turn reads it.
-    interrupted_ = count < 0 ? interrupted_ + now_ - before : Micros{0};
-    heldUp_ = carried_ + (readyAtOnce ? entered - before : std::max(Micros{0}, overslept));
-    carried_ = interrupted_;
+    Events events;
+    const int count = await(events, wait);
     // Handlers are looked up one by one: an earlier one may have removed a later one.
     std::unordered_map<HandlerId, std::uint32_t> due;
     due.swap(again_);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -3,11 +3,13 @@
 
 #include <sys/epoll.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -42,7 +44,10 @@
     static Micros clock();
     // For so long what is read in this turn may have waited: the turn before was as long, or the process was
     // held up.
-    Micros heldUp() const { return heldUp_; }
+    Micros heldUp() const { return std::accumulate(heldUp_.begin(), heldUp_.end(), Micros{0}); }
+    // The turn has taken so long that what it has heard may be out of date: what begins anything waits for
+    // the next one.
+    bool stale() const { return clock() - now_ > kStale; }
     HandlerId add(int fd, std::uint32_t events, Handler& handler, Priority priority = Priority::usual);
     void remove(HandlerId id, int fd);
     void again(HandlerId id, std::uint32_t events);  // in the next turn, without a new edge
@@ -64,6 +69,10 @@
         std::uint32_t events = 0;
     };
 
+    using Events = std::array<epoll_event, 256>;
+    static constexpr Micros kStale{50'000};
+
+    int await(Events& events, int wait);
     bool watch(HandlerId id, int fd, std::uint32_t events);
     void watchTheUnwatched();
     void runPosted();
@@ -71,8 +80,8 @@
 
     Descriptor epoll_;
     Micros now_;
-    Micros heldUp_{};
-    Micros interrupted_{}, carried_{};  // by waits that ended with EINTR, up to now and up to the turn before
+    // Of the last turns: a connection is accepted in one and read in the next.
+    std::array<Micros, 3> heldUp_{};
     std::uint64_t nextId_ = 1;
     std::unordered_map<HandlerId, Handler*> handlers_;
     std::map<HandlerId, Unwatched> unwatched_;  // those that the kernel had no memory for
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -160,6 +160,13 @@
     return ready > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+Micros Stream::sinceLastArrival() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(fd_.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return Micros{0};
+    return std::chrono::milliseconds{info.tcpi_last_data_recv};
+}
+
 std::size_t Stream::untaken() const {
     int unacknowledged = 0;
     if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -58,6 +58,8 @@
     void readSoon() { loop_.again(id_, EPOLLIN); }  // in the next turn; its end, if it has come
     // Once the peer has left, what it sent before that is not read any more.
     void dropWithPeer() { dropWithPeer_ = true; }
+    // How long ago the last byte came in, read or not; zero where the system does not tell.
+    Micros sinceLastArrival() const;
     bool allTaken() const { return untaken() == 0; }  // the peer's machine has all that was written
 
     std::uint32_t ready(std::uint32_t events) override;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -27,12 +27,15 @@
 constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
 constexpr Micros kNoRoomPause = 200ms;
 // Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
-constexpr Micros kFirstMessage = 2800ms;   // from connecting to the first whole message
-constexpr Micros kHalfMessage = 2800ms;    // from the first byte of a later one to its last
-constexpr Micros kGentle = 500ms;          // for what was answered to be read before the close
-constexpr Micros kSilentYoung = 200ms;     // a new connection may still be about to ask
-constexpr Micros kStalledYoung = 50ms;     // and one that writes may be between two pieces
-constexpr Micros kHalfAtTheEnd = 200ms;    // and before the process ends it has so long to go on
+constexpr Micros kFirstMessage = 2800ms;  // from connecting to the first whole message
+constexpr Micros kHalfMessage = 2800ms;   // from the first byte of a later one to its last
+constexpr Micros kGentle = 500ms;         // for what was answered to be read before the close
+constexpr Micros kSilentYoung = 200ms;    // a new connection may still be about to ask
+constexpr Micros kStalledYoung = 50ms;    // and one that writes may be between two pieces
+constexpr Micros kHalfAtTheEnd = 200ms;   // and before the process ends it has so long to go on
+constexpr Micros kJustOpened = 500ms;     // what connects so soon may have waited for this process
+constexpr Micros kLongestUnread = 5s;
+constexpr Micros kWorthAsking = 20ms;      // less is within every slack
 constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
 // Operators send clients away: 4 s after that nobody is to be held.
 constexpr Micros kSweep = 50ms;
@@ -139,12 +142,22 @@
     bool streamData(std::string_view data) override {
         lastByte_ = owner_.loop_.now();
         if (!used_) lastUsed_ = lastByte_;
-        if (ahead_.empty()) aheadSince_ = lastByte_ - owner_.loop_.heldUp();
+        if (ahead_.empty()) aheadSince_ = lastByte_ - waitedUnread();
         ahead_.append(data);
         takeMessages();
         return true;
     }
 
+    // What comes in may have been sent while this process was held up, or before it listened.
+    Micros waitedUnread() const {
+        const Micros heldUp = owner_.loop_.heldUp();
+        const bool fromBeforeTheStart = !used_ && connectedAt_ - owner_.openedAt_ < kJustOpened;
+        if (heldUp < kWorthAsking && !fromBeforeTheStart) return heldUp;
+        const Micros told = stream_.sinceLastArrival();
+        if (fromBeforeTheStart) return std::clamp(told, Micros{0}, kLongestUnread);
+        return told.count() > 0 ? std::min(heldUp, told) : heldUp;
+    }
+
     // A share of the turn for each client: a burst of one waits in its own connection, not in the others'
     // way. So does what one sends that does not read its answers.
     void takeMessages() {
@@ -507,6 +520,7 @@
 }
 
 void Front::open() {
+    openedAt_ = loop_.now();
     if (!inherited_) {
         listener_ = listenOn(address_);
         return;
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -87,6 +87,7 @@
     bool yielding_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> sweep_;
+    core::Micros openedAt_{};
     RequestId nextId_ = 1;
     std::uint64_t lastClient_ = 0;
     std::unique_ptr<net::Listener> listener_;
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -284,6 +284,7 @@
     }
 
     void flush() {
+        if (owner_.loop_.stale()) return flushNextTurn();
         while (stream_.opened() && !waiting_.empty() && stream_.unsent() == 0) {
             // The store has closed, and that has not been handled yet: what is written now would be lost, and
             // count as perhaps run.
@@ -315,6 +316,12 @@
         }
     }
 
+    void flushNextTurn() {
+        owner_.loop_.after(Micros{1}, [self = weak_from_this()] {
+            if (const auto link = self.lock()) link->flush();
+        });
+    }
+
     // What its client still waits, by the clock itself: the turn may be long by now.
     Micros leftOf(const Waiting& waiting) const {
         const Micros now = net::Loop::clock();
