--- a/bench/soak/judge.hpp
+++ b/bench/soak/judge.hpp
@@ -77,6 +77,7 @@
     void leaves(int gateway);                          // SIGTERM, without a successor
     void hasEnded(int gateway);                        // after that
     void stopped(int gateway, Millis time);            // SIGSTOP that is over
+    void stalled(Millis time);                         // this whole program, by its machine
     void withdrawnFromList(const std::string& store);  // draining or removed from now on
     void listedAgain(const std::string& store);
     void busTrouble(Millis time);  // from now on
@@ -139,6 +140,7 @@
     std::map<int, TimePoint> killedAt_;
     std::map<int, std::vector<Leaving>> leaving_;
     std::map<int, std::deque<Stop>> stops_;
+    std::deque<Stop> stalls_;
     std::map<std::string, TimePoint> withdrawnAt_;  // from when on nothing may be sent
     std::map<std::string, Purge> purges_;
     TimePoint busTroubleUntil_{};
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -93,6 +93,7 @@
     void replaceStore(Store& store, std::mt19937_64& random);
     void troubleBus();
     void purgeNowAndThen();
+    void watchForStalls();
     void sleepUnlessOver(Millis time) const;
     bool report();
 
@@ -272,6 +273,17 @@
     }
 }
 
+// Where this program gets no processor, what it sees of others it sees late.
+void Soak::watchForStalls() {
+    constexpr Millis kTick = 5ms, kStall = 40ms;
+    while (!over_) {
+        const TimePoint before = Clock::now();
+        std::this_thread::sleep_for(kTick);
+        const auto slept = std::chrono::duration_cast<Millis>(Clock::now() - before);
+        if (slept > kStall) judge_.stalled(slept);
+    }
+}
+
 bool Soak::run() {
     startGateways();
     std::vector<std::thread> clients;
@@ -290,6 +302,7 @@
     if (options_.troubles.stores) troubles_.emplace_back([this] { troubleStores(); });
     if (options_.troubles.bus) troubles_.emplace_back([this] { troubleBus(); });
     troubles_.emplace_back([this] { purgeNowAndThen(); });
+    troubles_.emplace_back([this] { watchForStalls(); });
     std::this_thread::sleep_for(std::chrono::seconds(options_.seconds));
     over_ = true;
     clientsOver_ = true;
--- a/bench/soak/stores.cpp
+++ b/bench/soak/stores.cpp
@@ -42,7 +42,7 @@
 
 void Server::up() {
     if (up_.exchange(true)) return;
-    listener_ = listenOnLoopback(port_, kBacklog);
+    listener_ = port_ == 0 ? listenOnLastingPort(kBacklog) : listenOnLoopback(port_, kBacklog);
     port_ = portOf(listener_);
     acceptor_ = std::thread([this] { accept(); });
 }
--- a/bench/soak/wire.cpp
+++ b/bench/soak/wire.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cerrno>
 #include <cstdlib>
 #include <stdexcept>
@@ -131,11 +132,27 @@
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in at = loopback(port);
     if (fd < 0 || ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
-        ::listen(fd, backlog) != 0)
+        ::listen(fd, backlog) != 0) {
+        ::close(fd);
         throw std::runtime_error("soak: cannot listen on loopback port " + std::to_string(port));
+    }
     return fd;
 }
 
+int listenOnLastingPort(int backlog) {
+    constexpr int kFirst = 10'000, kLast = 30'000;  // below Linux's range for outgoing connections
+    static std::atomic<int> next{kFirst + ::getpid() * 37 % (kLast - kFirst)};
+    for (int tries = 0; tries < kLast - kFirst; ++tries) {
+        const int port = kFirst + (next++ - kFirst) % (kLast - kFirst);
+        try {
+            return listenOnLoopback(static_cast<std::uint16_t>(port), backlog);
+        } catch (const std::runtime_error&) {
+            continue;  // somebody else's
+        }
+    }
+    throw std::runtime_error("soak: no port is free");
+}
+
 std::uint16_t portOf(int fd) {
     sockaddr_in at{};
     socklen_t size = sizeof at;
--- a/bench/soak/wire.hpp
+++ b/bench/soak/wire.hpp
@@ -47,6 +47,8 @@
 
 // A listening socket on loopback; port 0: one of the system's choice.
 int listenOnLoopback(std::uint16_t port, int backlog);
+// On a port that no outgoing connection gets as its own, so that it can be listened on again after a while.
+int listenOnLastingPort(int backlog);
 std::uint16_t portOf(int fd);
 
 }  // namespace lotuslead::soak
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -100,6 +100,7 @@
     const Micros held = interrupted ? slept : slept < kAtOnce ? entered - before : overslept;
     std::rotate(heldUp_.begin(), heldUp_.begin() + 1, heldUp_.end());
     heldUp_.back() = held;
+    if (held > kLong) heldUpAt_ = now_;
     return count;
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -45,6 +45,8 @@
     // For so long what is read in this turn may have waited: the turn before was as long, or the process was
     // held up.
     Micros heldUp() const { return std::accumulate(heldUp_.begin(), heldUp_.end(), Micros{0}); }
+    // The process was held up for long a moment ago: what is read now may have waited, too.
+    bool heldUpOfLate() const { return now_ - heldUpAt_ < kOfLate; }
     // The turn has taken so long that what it has heard may be out of date: what begins anything waits for
     // the next one.
     bool stale() const { return clock() - now_ > kStale; }
@@ -71,6 +73,8 @@
 
     using Events = std::array<epoll_event, 256>;
     static constexpr Micros kStale{50'000};
+    static constexpr Micros kOfLate{250'000};
+    static constexpr Micros kLong{20'000};
 
     int await(Events& events, int wait);
     bool watch(HandlerId id, int fd, std::uint32_t events);
@@ -82,6 +86,7 @@
     Micros now_;
     // Of the last turns: a connection is accepted in one and read in the next.
     std::array<Micros, 3> heldUp_{};
+    Micros heldUpAt_{-kOfLate};  // for longer than kLong
     std::uint64_t nextId_ = 1;
     std::unordered_map<HandlerId, Handler*> handlers_;
     std::map<HandlerId, Unwatched> unwatched_;  // those that the kernel had no memory for
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -35,7 +35,6 @@
 constexpr Micros kHalfAtTheEnd = 200ms;   // and before the process ends it has so long to go on
 constexpr Micros kJustOpened = 500ms;     // what connects so soon may have waited for this process
 constexpr Micros kLongestUnread = 5s;
-constexpr Micros kWorthAsking = 20ms;      // less is within every slack
 constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
 // Operators send clients away: 4 s after that nobody is to be held.
 constexpr Micros kSweep = 50ms;
@@ -150,12 +149,10 @@
 
     // What comes in may have been sent while this process was held up, or before it listened.
     Micros waitedUnread() const {
-        const Micros heldUp = owner_.loop_.heldUp();
         const bool fromBeforeTheStart = !used_ && connectedAt_ - owner_.openedAt_ < kJustOpened;
-        if (heldUp < kWorthAsking && !fromBeforeTheStart) return heldUp;
-        const Micros told = stream_.sinceLastArrival();
-        if (fromBeforeTheStart) return std::clamp(told, Micros{0}, kLongestUnread);
-        return told.count() > 0 ? std::min(heldUp, told) : heldUp;
+        if (!owner_.loop_.heldUpOfLate() && !fromBeforeTheStart) return owner_.loop_.heldUp();
+        const Micros told = std::min(stream_.sinceLastArrival(), kLongestUnread);
+        return told.count() > 0 ? told : owner_.loop_.heldUp();
     }
 
     // A share of the turn for each client: a burst of one waits in its own connection, not in the others'
