Take calls only once all that came with them is read, and share a turn by bytes, not by reads

Four reads were a connection's share of a turn, however short. What waited in an inherited socket counted as new behind the first call. Change: calls are taken when the read that brought them has ended; the share is 256 KB a turn; for 1 s after the start, after a hold-up and while reading lags the kernel is asked when the last byte came.

--- a/bench/soak/judge.cpp
+++ b/bench/soak/judge.cpp
@@ -178,8 +178,8 @@
     for (const std::string& name : {store, source}) {
         const auto withdrawn = withdrawnAt_.find(name);
         if (!name.empty() && withdrawn != withdrawnAt_.end() && now > withdrawn->second + kScheduling + held)
-            report(Rule::drainedStore,
-                   trace + " at " + store + (name == store ? "" : " with source " + name));
+            report(Rule::drainedStore, trace + " by gateway " + std::to_string(request.gateway) + " at " +
+                                           store + (name == store ? "" : " with source " + name));
     }
 }
 
@@ -211,7 +211,8 @@
     for (std::size_t i = static_cast<std::size_t>(attempt) + 1; i < request.attempts.size(); ++i)
         if (ended.endedAt >
             request.attempts[i].arrivedAt + kScheduling + heldUp(request.gateway, request.sentAt))
-            report(Rule::twoAttemptsOut, trace + " at " + ended.store + " and " + request.attempts[i].store);
+            report(Rule::twoAttemptsOut, trace + " by gateway " + std::to_string(request.gateway) + " at " +
+                                             ended.store + " and " + request.attempts[i].store);
 }
 
 void Judge::killed(int gateway) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -97,7 +97,7 @@
     const Micros before = std::exchange(now_, clock());
     const Micros slept = now_ - entered;
     const Micros overslept = std::max(Micros{0}, slept - std::chrono::milliseconds{wait});
-    const Micros held = interrupted ? slept : slept < kAtOnce ? entered - before : overslept;
+    const Micros held = slept < kAtOnce ? entered - before : interrupted ? slept : overslept;
     std::rotate(heldUp_.begin(), heldUp_.begin() + 1, heldUp_.end());
     heldUp_.back() = held;
     if (held > kLong) heldUpAt_ = now_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -27,7 +27,8 @@
 constexpr Micros kNotTaken = 3s;                  // then nobody reads what a connection that ends still has
 constexpr Micros kShortageWait = 2ms;             // of memory or descriptors: then the call is made again
 constexpr int kConnectTries = 6;                  // with growing waits, 30 ms in all
-constexpr int kReadsATurn = 4;                    // then the others have their turn
+constexpr std::size_t kBytesATurn = 4 * kReadChunk;  // then the others have their turn
+constexpr int kReadsATurn = 1024;                    // however short they are
 constexpr int kSendBuffer = 256 * 1024;  // else the kernel holds megabytes for each client that does not read
 
 void noDelay(int fd) {
@@ -292,7 +293,8 @@
 
 std::uint32_t Stream::readSome() {
     static thread_local std::array<char, kReadChunk> chunk;
-    for (int i = 0; i < kReadsATurn; ++i) {
+    std::size_t all = 0;
+    for (int i = 0; i < kReadsATurn && all < kBytesATurn; ++i) {
         readable_ = true;
         if (paused_) {
             // Its end makes no further edge, and stands behind what is not read: it must not wait for that.
@@ -303,6 +305,7 @@
         if (got < 0 && errno == EINTR) continue;
         if (got < 0 && wouldBlock(errno)) {
             readable_ = false;
+            unreadSince_.reset();
             if (broken_) end(End::reset);
             return 0;
         }
@@ -314,6 +317,7 @@
             end(got == 0 ? End::closedByPeer : End::reset);
             return 0;
         }
+        all += static_cast<std::size_t>(got);
         if (gentle_) {
             dropped_ += static_cast<std::size_t>(got);
             if (dropped_ <= kMostDropped) continue;
@@ -326,6 +330,7 @@
         }
         if (state_ == State::closed) return 0;
     }
+    if (!unreadSince_) unreadSince_ = loop_.now();
     return EPOLLIN;
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -58,6 +58,8 @@
     void readSoon() { loop_.again(id_, EPOLLIN); }  // in the next turn; its end, if it has come
     // Once the peer has left, what it sent before that is not read any more.
     void dropWithPeer() { dropWithPeer_ = true; }
+    // What has come in was more than a turn's share, for some turns now.
+    bool readingLags() const { return unreadSince_ && loop_.now() - *unreadSince_ > kLag; }
     // How long ago the last byte came in, read or not; zero where the system does not tell.
     Micros sinceLastArrival() const;
     bool allTaken() const { return untaken() == 0; }  // the peer's machine has all that was written
@@ -98,6 +100,8 @@
     std::size_t left_ = 0;  // untaken when last looked at
     Micros gentleFor_{}, takenAt_{};
     Loop::TimerKey timer_{};
+    static constexpr Micros kLag{10'000};
+    std::optional<Micros> unreadSince_;
     bool broken_ = false;  // a send has failed for good; what came before is still read
     std::optional<Loop::TimerKey> retry_;
     std::uint32_t lookAgainFor_ = 0;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -33,7 +33,7 @@
 constexpr Micros kSilentYoung = 200ms;    // a new connection may still be about to ask
 constexpr Micros kStalledYoung = 50ms;    // and one that writes may be between two pieces
 constexpr Micros kHalfAtTheEnd = 200ms;   // and before the process ends it has so long to go on
-constexpr Micros kJustOpened = 500ms;     // what connects so soon may have waited for this process
+constexpr Micros kJustOpened = 1s;        // what comes so soon may have waited for this process
 constexpr Micros kLongestUnread = 5s;
 constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
 // Operators send clients away: 4 s after that nobody is to be held.
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-class Front::Client : public net::Stream::User {
+class Front::Client : public net::Stream::User, public std::enable_shared_from_this<Front::Client> {
 public:
     Client(Front& owner, net::Descriptor fd)
         : owner_(owner),
@@ -143,14 +143,26 @@
         if (!used_) lastUsed_ = lastByte_;
         if (ahead_.empty()) aheadSince_ = lastByte_ - waitedUnread();
         ahead_.append(data);
-        takeMessages();
+        takeWhenAllIsRead();
         return true;
     }
 
+    // A CANCEL may stand behind a call, in what this read has not brought yet.
+    void takeWhenAllIsRead() {
+        if (std::exchange(takePosted_, true)) return;
+        owner_.loop_.post([self = weak_from_this()] {
+            const auto client = self.lock();
+            if (!client) return;
+            client->takePosted_ = false;
+            client->takeMessages();
+        });
+    }
+
     // What comes in may have been sent while this process was held up, or before it listened.
     Micros waitedUnread() const {
-        const bool fromBeforeTheStart = !used_ && connectedAt_ - owner_.openedAt_ < kJustOpened;
-        if (!owner_.loop_.heldUpOfLate() && !fromBeforeTheStart) return owner_.loop_.heldUp();
+        const bool fromBeforeTheStart = owner_.loop_.now() - owner_.openedAt_ < kJustOpened;
+        const bool mayBeOld = fromBeforeTheStart || owner_.loop_.heldUpOfLate() || stream_.readingLags();
+        if (!mayBeOld) return owner_.loop_.heldUp();
         const Micros told = std::min(stream_.sinceLastArrival(), kLongestUnread);
         return told.count() > 0 ? told : owner_.loop_.heldUp();
     }
@@ -480,6 +492,7 @@
     Micros connectedAt_, lastUsed_, lastByte_, lastCall_{};
     std::optional<net::Loop::TimerKey> watch_, resume_;
     int strikes_ = 0;
+    bool takePosted_ = false;
     bool used_ = false;     // a whole message has come
     bool retired_ = false;  // what still comes is refused
     bool ending_ = false;   // nothing is owed any more
