--- a/bench/soak/clients.hpp
+++ b/bench/soak/clients.hpp
@@ -38,6 +38,7 @@
     Outcome manyAtOnce(bool connectionIsUsed);
     Outcome awaitAll(std::map<std::string, Call>& calls, bool wasResting);
     Call makeCall(std::string& bytes);
+    void neverSent(const std::map<std::string, Call>& calls);
     void lose(std::map<std::string, Call>& calls, const char* how, bool wasResting);
     void cancel(Call& call);
     void pause(Millis mean);
--- a/bench/soak/judge.hpp
+++ b/bench/soak/judge.hpp
@@ -80,6 +80,7 @@
     void stalled(Millis time);                         // this whole program, by its machine
     void withdrawnFromList(const std::string& store);  // draining or removed from now on
     void listedAgain(const std::string& store);
+    bool busMayBeLate() const;
     void busTrouble(Millis time);  // from now on
     void purged(const std::string& entity, std::int64_t purgeMs);
     void violation(Rule rule, const std::string& what);
@@ -97,6 +98,7 @@
         std::string store;
         TimePoint arrivedAt, endedAt;
         AttemptEnd end = AttemptEnd::out;
+        bool arrivalSeenLate = false;
     };
     struct Request {
         int gateway = 0;
--- a/bench/soak/stores.cpp
+++ b/bench/soak/stores.cpp
@@ -159,8 +159,10 @@
 
 // The budget over every window: N calls, 2 x root of N and 2 more; under 30, 3 x root of N and 3 more.
 void Store::countColdCall() {
+    const bool toldLate = judge_.busMayBeLate();
     const std::lock_guard lock(mutex_);
     if (!coldSince_) return;
+    if (toldLate) return coldCalls_.clear();  // who has not been told of the start keeps to no budget
     const TimePoint now = Clock::now();
     const std::chrono::duration<double> age = now - *coldSince_, warm = cold_.warmWithin;
     if (age >= warm) {
