--- a/tests/agent_changes_test.cpp
+++ b/tests/agent_changes_test.cpp
@@ -10,6 +10,8 @@
 
 constexpr auto kCheckWithin = 1s;  // no gap is as long
 constexpr auto kBetweenChecks = 20ms;
+constexpr int kPutsWithoutRoom = 150;
+constexpr std::size_t kPadding = 200'000;  // with so many puts more than two of libraft's segments of 8 MB
 constexpr const char* kFirstDoor = ":15000";
 constexpr int kSecondDoorPort = 15001;
 
@@ -138,6 +140,27 @@
     gate.awaitReady();
 }
 
+// No room on any agent's disk for a while: what is agreed on once there is room again holds, and the agents
+// need nobody's hand.
+void agentsGoOnOnceThereIsRoomAgain() {
+    FaultSwitch faults;
+    Agents agents(faults.variables("fallocate=ENOSPC:1;pwrite=ENOSPC:1;sync=EIO:1"));
+    agents.awaitLeader();
+    json padded = configuration({});
+    padded["padding"] = std::string(kPadding, 'x');
+    const std::string big = agents.file("big.json", padded);
+    assert(agents.ctl("put gate-0 1 " + big) == "agreed\n");
+    faults.set(true);
+    // Until the prepared segments are used up.
+    for (int i = 1; i <= kPutsWithoutRoom; ++i) agents.ctl("put gate-0 1 " + big);
+    std::this_thread::sleep_for(2s);
+    faults.set(false);
+    for (int i = 0; i < kPatience; ++i, std::this_thread::sleep_for(1s))
+        if (agents.ctl("put gate-0 2 " + big) == "agreed\n") return;
+    for (int id = 1; id <= 3; ++id) std::fprintf(stderr, "%s\n", agents.ctl("status", id).c_str());
+    std::abort();
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -145,6 +168,7 @@
         {"change-during-replacement", aChangeDuringAReplacementLeavesNoGap},
         {"successor-ends", aSuccessorThatEndsIsStartedAgain},
         {"fork-fails", aForkThatFailsIsTriedAgain},
+        {"no-room", agentsGoOnOnceThereIsRoomAgain},
     };
     playStories(stories, count, words);
     return 0;
