Take no store's start for long ago or yet to come where the wall clock cannot know

Cause: the offset of the wall clock is read once, at the start. Change: Decisions::startOf takes a start that is still to come, and one of over a minute ago that is told as news, for a start of this moment, and keeps what it took for each since_ms. The list that a process starts with can't be checked so: a clock that is ahead then is in the postmortem's list of what is open.

--- a/bench/scale/hollow_gateways.cpp
+++ b/bench/scale/hollow_gateways.cpp
@@ -71,7 +71,7 @@
 private:
     void apply(const settings::BusEvent& event) {
         if (event.isList) {
-            decisions_.list(loop_.now(), event);
+            decisions_.list(loop_.now(), event, reader_.caughtUp());
             return noteChange(event);
         }
         decisions_.purge(loop_.now(), event);
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -114,6 +114,7 @@
     json all = lotuslead::testing::configuration({});
     all["known"] = bus_->known();
     all["bus"] = bus_->address();
+    all["flow_bytes_per_s"] = kLinkKbPerS / kWeight * 1000;
     json& settings = all["settings"];
     settings["balancers"] = options_.gateways;
     settings["weights"] = "nominal";
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -70,10 +70,26 @@
     router_.warm(moduleTime(now), warmth);
 }
 
-void Decisions::list(Micros now, const settings::BusEvent& event) {
+// The list's clock and ours may be far apart: ours is read once, at the start, and may have been stepped.
+// What it can't be is kept out: a start that is still to come, and one of long ago that is news now. Either
+// counts as a start of this moment, which is the stricter end.
+Time Decisions::startOf(Micros now, const settings::ListedStore& store, const ListedHost& before,
+                        bool heardLive) const {
+    constexpr std::chrono::minutes kLongAgo{1};
+    if (store.sinceMs <= 0) return Time{0};
+    if (store.sinceMs == before.sinceMs) return before.startedAt;
+    const Micros told = std::chrono::milliseconds{store.sinceMs} - unixAhead_;
+    const bool impossible = told > now || (heardLive && told < now - kLongAgo);
+    return std::max(Time{1}, moduleTime(impossible ? now : told));
+}
+
+void Decisions::list(Micros now, const settings::BusEvent& event, bool heardLive) {
     HostList list;
     list.whole = event.whole;
-    if (event.whole) hosts_.clear();
+    // A whole list names hosts that stay.
+    std::unordered_map<std::string, ListedHost> replaced;
+    if (event.whole) replaced.swap(hosts_);
+    const auto& before = event.whole ? replaced : hosts_;
     for (const settings::ListedStore& store : event.stores) {
         HostEntry entry;
         entry.name = store.name;
@@ -82,15 +98,14 @@
         entry.cell = store.cell;
         entry.weight = store.weight;
         entry.readiness = store.readiness;
-        if (store.sinceMs > 0) {
-            const Micros since = std::chrono::milliseconds{store.sinceMs};
-            entry.startedAt = std::max(Time{1}, moduleTime(since - unixAhead_));
-        }
+        const auto known = before.find(store.name);
+        entry.startedAt =
+            startOf(now, store, known == before.end() ? ListedHost{} : known->second, heardLive);
         // Nothing is kept of hosts that are gone: on a long day there is no end of them.
         if (store.readiness == Readiness::gone)
             hosts_.erase(store.name);
         else
-            hosts_[store.name] = {store.readiness, entry.zone, entry.cell};
+            hosts_[store.name] = {store.readiness, entry.zone, entry.cell, store.sinceMs, entry.startedAt};
         list.entries.push_back(std::move(entry));
     }
     router_.handle(moduleTime(now), list, actions_);
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -80,7 +80,8 @@
     nlohmann::json handOver(Micros now);
     void takeOver(Micros now, const nlohmann::json& known);  // throws where it is not of that form
 
-    void list(Micros now, const settings::BusEvent& event);
+    // `heardLive`: as it came about, and not from what was known at the start.
+    void list(Micros now, const settings::BusEvent& event, bool heardLive);
     void purge(Micros now, const settings::BusEvent& event);
 
     Verdict pick(Micros now, const Request& request);
@@ -96,6 +97,8 @@
         Readiness readiness = Readiness::gone;
         int zone = 0;
         std::int64_t cell = 0;
+        std::int64_t sinceMs = 0;  // of a late start, by the list's clock
+        Time startedAt{};          // by ours
     };
     ListedHost hostOf(const std::string& name) const;
 
@@ -104,6 +107,8 @@
     std::vector<Verdict> collect(Micros now);
     void forgetOldPurges(Micros now);
     Settings shared() const;
+    Time startOf(Micros now, const settings::ListedStore& store, const ListedHost& before,
+                 bool heardLive) const;
 
     // The router's clock starts this far from zero, so that a host that started before this machine did has
     // a time above zero (zero stands for "long ago").
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -58,6 +58,7 @@
     void open() override {
         const settings::Configuration& base = baseOf(configuration_);
         front_.open();
+        isOpen_ = true;
         std::fprintf(stderr, "%s: %s on %s:%u\n", base.name.c_str(), opened_, base.listen.host.c_str(),
                      front_.port());
     }
@@ -184,7 +185,7 @@
             return decisions_.purge(loop_.now(), event);
         }
         // First the decisions: attempts that end with a host's connections are then not sent to it again.
-        decisions_.list(loop_.now(), event);
+        decisions_.list(loop_.now(), event, isOpen_ && bus_.caughtUp());
         carrier_.list(event);
     }
 
@@ -279,6 +280,7 @@
                             {"superseded", t.superseded}});
     }
 
+    bool isOpen_ = false;
     BusReader bus_;
     DiskSource diskSource_;
     std::optional<settings::DiskSettings> disk_;
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -27,6 +27,7 @@
 
 json slowStart(const std::vector<json>& hosts, long long warmMs) {
     json all = configuration(hosts);
+    all["flow_bytes_per_s"] = kLinkKbPerS / kWeight * 1000;  // as sizes are told on the sockets
     json& settings = all["settings"];
     settings["weights"] = "nominal";
     settings["extra"]["flowKbPerS"] = kLinkKbPerS / kWeight;
