Split the front's input and its limits into modules of their own

Change: ClientMessages holds what a client has sent and the front has not taken yet; front_limits.hpp has the figures. No behaviour changes.

--- /dev/null
+++ b/src/platform/client_messages.cpp
@@ -0,0 +1,75 @@
+#include "client_messages.hpp"
+
+#include <utility>
+
+#include "call_form.hpp"
+
+namespace lotuslead::platform {
+
+namespace {
+
+constexpr std::size_t kMostMessages = 64;
+constexpr std::size_t kMostBytes = 64 * 1024;
+
+bool isCallOf(const std::vector<std::string>& words, const std::string& tag) {
+    return words.size() > 2 && words[0] == "CALL" && words[1] == tag;
+}
+
+}  // namespace
+
+void ClientMessages::append(std::string_view data, Micros arrivedAt) {
+    if (bytes_.empty()) bytesSince_ = arrivedAt;
+    bytes_.append(data);
+}
+
+void ClientMessages::parse() {
+    using Status = net::RespParser::Status;
+    std::string_view rest = bytes_;
+    while (!malformed_ && messages_.size() < kMostMessages && messageBytes_ < kMostBytes && !rest.empty()) {
+        const Status status = parser_.feed(rest);
+        malformed_ = status == Status::malformed;
+        if (status != Status::message) continue;
+        messages_.push_back({parser_.take(), bytesSince_});
+        messageBytes_ += bytesOf(messages_.back().words);
+    }
+    bytes_.erase(0, bytes_.size() - rest.size());
+}
+
+ClientMessages::TakenBack ClientMessages::takeBack(
+    const std::function<bool(const std::string& tag)>& isOpen) {
+    TakenBack result;
+    for (std::size_t at = 0; at < messages_.size(); ++at) {
+        const std::vector<std::string>& words = messages_[at].words;
+        if (words.size() < 2 || words[0] != "CANCEL" || !isTag(words[1])) continue;
+        const std::string tag = words[1];
+        std::size_t call = 0;
+        while (call < at && !isCallOf(messages_[call].words, tag)) ++call;
+        const bool open = isOpen(tag);
+        const bool held = call < at;
+        if (open == held) continue;  // in its turn
+        takeAt(at--);
+        if (open) {
+            result.openTags.push_back(tag);
+            continue;
+        }
+        takeAt(call);
+        --at;
+        ++result.heldCalls;
+    }
+    return result;
+}
+
+ClientMessages::Message ClientMessages::takeAt(std::size_t at) {
+    Message message = std::move(messages_[at]);
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(at));
+    messageBytes_ -= bytesOf(message.words);
+    return message;
+}
+
+void ClientMessages::clear() {
+    bytes_.clear();
+    messages_.clear();
+    messageBytes_ = 0;
+}
+
+}  // namespace lotuslead::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -9,46 +9,18 @@
 
 #include "../support/trace.hpp"
 #include "call_form.hpp"
+#include "client_messages.hpp"
+#include "front_limits.hpp"
 
 namespace lotuslead::platform {
 
 using core::Micros;
 using core::Reply;
 using namespace std::chrono_literals;
+using namespace limits;
 
 namespace {
 
-constexpr std::size_t kLargestAnswer = 240'000;
-constexpr std::size_t kProcessBytes = 8 * 1024 * 1024;   // of a process at rest, with all that it knows
-constexpr std::size_t kClientBacklog = 2 * 1024 * 1024;  // unread answers at which a client is not read from
-constexpr std::size_t kClientsShare = 16;                // of them may be so far behind
-constexpr std::size_t kSlow = 256 * 1024;                // unread answers of one that reads slowly
-constexpr double kSpreads = 3;                           // of answers' sizes, above their mean
-constexpr Micros kWayBack = 10ms;  // the client counts from when it sent; so long an answer is under way
-constexpr Micros kNoRoomPause = 200ms;
-// Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
-constexpr Micros kFirstMessage = 2800ms;  // from connecting to the first whole message
-constexpr Micros kHalfMessage = 2800ms;   // from the first byte of a later one to its last
-constexpr Micros kGentle = 500ms;         // for what was answered to be read before the close
-constexpr Micros kSilentYoung = 200ms;    // a new connection may still be about to ask
-constexpr Micros kStalledYoung = 50ms;    // and one that writes may be between two pieces
-constexpr Micros kHalfAtTheEnd = 200ms;   // and before the process ends it has so long to go on
-constexpr Micros kJustOpened = 1s;        // what comes so soon may have waited for this process
-constexpr Micros kLongestUnread = 5s;
-constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
-// Operators send clients away: 4 s after that nobody is to be held.
-constexpr Micros kSweep = 50ms;
-constexpr Micros kDrainRefuses = 1900ms;
-// Where a connection has been refusing for so long, what is still open on it is failed: one slow request
-// would have hundreds refused behind it.
-constexpr Micros kDrainEnds = 2300ms;
-constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
-constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
-constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
-constexpr std::size_t kMostHeld = 64;         // messages of one that were read and not taken yet
-constexpr std::size_t kHeldBytes = 64 * 1024;
-constexpr int kMostStrikes = 12;  // useless messages in a row that a connection may bring
-
 std::string pauseFields(Micros pause) {
     const auto ms = pause.count() / 1000;
     return ms > 0 ? "pause=" + std::to_string(ms) : "-";
@@ -60,7 +32,6 @@
 public:
     Client(Front& owner, net::Descriptor fd)
         : owner_(owner),
-          parser_({8, 64 * 1024, 80 * 1024}),
           connectedAt_(owner.loop_.now()),
           lastUsed_(connectedAt_),
           lastByte_(connectedAt_),
@@ -70,11 +41,11 @@
     }
     ~Client() override { abandon(); }
 
-    bool idle() const { return open_.empty() && !unheard() && stream_.unsent() == 0; }
+    bool idle() const { return open_.empty() && input_.empty() && stream_.unsent() == 0; }
     // Idle, has been used, and nothing of a further call has come, read or unread.
-    bool resting() const { return idle() && used_ && !retired_ && !parser_.midMessage() && stream_.quiet(); }
-    bool silent() const { return !used_ && !unheard() && stream_.quiet(); }
-    bool half() const { return parser_.midMessage(); }
+    bool resting() const { return idle() && used_ && !retired_ && !input_.midMessage() && stream_.quiet(); }
+    bool silent() const { return !used_ && input_.empty() && stream_.quiet(); }
+    bool half() const { return input_.midMessage(); }
     bool fresh() const { return !used_; }
     bool young() const { return owner_.loop_.now() - lastUsed_ < (half() ? kStalledYoung : kSilentYoung); }
     // The process may end: nothing of a request is here, and none is to be expected right now.
@@ -89,7 +60,7 @@
         settle();
     }
     core::CloseFacts closeFacts() const {
-        return {open_.size(), unheard() || !stream_.quiet(), stream_.unsent()};
+        return {open_.size(), !input_.empty() || !stream_.quiet(), stream_.unsent()};
     }
     Micros lastUsed() const { return lastUsed_; }  // before its first message: when something last came
 
@@ -100,8 +71,8 @@
         if (ending_ || !stream_.allTaken()) return;
         const Micros now = owner_.loop_.now();
         if (last && since && lastCall_ >= *since) failOpen();
-        if (ending_ || !open_.empty() || unheard() || !stream_.quiet()) return;
-        if (parser_.midMessage() && !last) return;
+        if (ending_ || !open_.empty() || !input_.empty() || !stream_.quiet()) return;
+        if (input_.midMessage() && !last) return;
         if (!used_ && now - connectedAt_ < kSilentDrained) return;
         if (!owner_.requests_.checks().require(core::mayClose(closeFacts()), "close", "a connection")) return;
         ++owner_.counters_.drained;
@@ -120,16 +91,11 @@
             owner_.labels_.erase(call.label);
             owner_.requests_.withdraw(owner_.loop_.now(), call.id);
         }
-        dropUnheard();
+        input_.clear();
         count(0);
     }
 
 private:
-    // A message that was read and not taken yet.
-    struct Held {
-        std::vector<std::string> words;
-        Micros arrivedAt{};
-    };
     struct Call {
         RequestId id = 0;
         std::string label;
@@ -141,8 +107,7 @@
     bool streamData(std::string_view data) override {
         lastByte_ = owner_.loop_.now();
         if (!used_) lastUsed_ = lastByte_;
-        if (ahead_.empty()) aheadSince_ = lastByte_ - waitedUnread();
-        ahead_.append(data);
+        input_.append(data, lastByte_ - waitedUnread());
         takeWhenAllIsRead();
         return true;
     }
@@ -171,72 +136,30 @@
     // way. So does what one sends that does not read its answers.
     void takeMessages() {
         if (stream_.closed() || ending_) return;
-        std::string_view rest = ahead_;
-        using Status = net::RespParser::Status;
-        while (!malformed_ && held_.size() < kMostHeld && heldBytes_ < kHeldBytes && !rest.empty()) {
-            const auto status = parser_.feed(rest);
-            malformed_ = status == Status::malformed;
-            if (status != Status::message) continue;
-            held_.push_back({parser_.take(), aheadSince_});
-            heldBytes_ += bytesOf(held_.back().words);
-        }
-        ahead_.erase(0, ahead_.size() - rest.size());
-        takeBackHeld();
+        input_.parse();
+        const auto takenBack =
+            input_.takeBack([this](const std::string& tag) { return open_.count(tag) > 0; });
+        for (const std::string& tag : takenBack.openTags) takeBack(tag);
+        for (int i = 0; i < takenBack.heldCalls; ++i) strike();
         bool fits = true;
-        for (int i = 0; i < kMessagesATurn && fits && !held_.empty() && !ending_ && !behind(); ++i) {
-            const Micros arrivedAt = held_.front().arrivedAt;
-            fits = take(fromHeld(0), arrivedAt);
+        for (int i = 0; i < kMessagesATurn && fits && input_.hasMessage() && !ending_ && !behind(); ++i) {
+            ClientMessages::Message message = input_.takeFirst();
+            fits = take(std::move(message.words), message.arrivedAt);
         }
         if (stream_.closed() || ending_) return;
-        if (!fits || (malformed_ && held_.empty())) return spoilt();
+        if (!fits || (input_.malformed() && !input_.hasMessage())) return spoilt();
         endIfAnswered();
         watchMessage();
         settle();
     }
 
-    // CANCEL overtakes what is held: a call that its client has taken back is not sent on first, and an open
-    // one is given up though the client does not read its answers.
-    void takeBackHeld() {
-        for (std::size_t at = 0; at < held_.size(); ++at) {
-            const std::vector<std::string>& words = held_[at].words;
-            if (words.size() < 2 || words[0] != "CANCEL" || !isTag(words[1])) continue;
-            const std::string tag = words[1];
-            const auto calls = [&](const std::vector<std::string>& other) {
-                return other.size() > 2 && other[0] == "CALL" && other[1] == tag;
-            };
-            std::size_t call = 0;
-            while (call < at && !calls(held_[call].words)) ++call;
-            const bool open = open_.count(tag) > 0, held = call < at;
-            if (open == held) continue;  // in its turn
-            fromHeld(at--);
-            if (open) {
-                takeBack(tag);
-            } else {
-                fromHeld(call);
-                --at;
-                strike();
-            }
-        }
-    }
-    std::vector<std::string> fromHeld(std::size_t at) {
-        std::vector<std::string> words = std::move(held_[at].words);
-        held_.erase(held_.begin() + static_cast<std::ptrdiff_t>(at));
-        heldBytes_ -= bytesOf(words);
-        return words;
-    }
-    bool unheard() const { return !ahead_.empty() || !held_.empty(); }
-    void dropUnheard() {
-        ahead_.clear();
-        held_.clear();
-        heldBytes_ = 0;
-    }
     bool behind() const { return stream_.unsent() > owner_.clientBacklog() && !owner_.lastCall_; }
     // What comes next can't be told apart any more. What was taken has its answer, and the client the time to
     // read it.
     void spoilt() {
         ++owner_.counters_.malformed;
         retired_ = true;
-        dropUnheard();
+        input_.clear();
         failOpen();
         endIfAnswered();
     }
@@ -256,7 +179,7 @@
         }
     }
     void endIfAnswered() {
-        if (!retired_ || !open_.empty() || unheard() || std::exchange(ending_, true)) return;
+        if (!retired_ || !open_.empty() || !input_.empty() || std::exchange(ending_, true)) return;
         if (Trace::on()) Trace::write("client_close", {{"client", std::to_string(number_)}});
         stopWatch();
         stream_.closeGently(kGentle);
@@ -283,7 +206,7 @@
 
     void watchMessage() {
         if (retired_ || !used_) return;
-        if (!parser_.midMessage()) return stopWatch();
+        if (!input_.midMessage()) return stopWatch();
         if (!watch_) watch(kHalfMessage);
     }
     void watch(Micros delay) {
@@ -291,11 +214,11 @@
         watch_ = owner_.loop_.after(delay, [this] {
             watch_.reset();
             if (retired_) {
-                dropUnheard();
+                input_.clear();
                 failOpen();
                 return endIfAnswered();
             }
-            if (unheard() || behind()) return watch(kHalfMessage);  // it waits for us
+            if (!input_.empty() || behind()) return watch(kHalfMessage);  // it waits for us
             ++(used_ ? owner_.counters_.halfMessages : owner_.counters_.silent);
             retired_ = true;
             failOpen();
@@ -464,10 +387,10 @@
     // A client that does not read its answers gets no further ones until it does; it is read on as far as
     // what it says can be held.
     void settle() {
-        count(stream_.unsent() + ahead_.size() + heldBytes_ + parser_.held());
+        count(stream_.unsent() + input_.heldBytes());
         if (ending_ || stream_.closed()) return;
-        stream_.pauseReading(malformed_ || !ahead_.empty());
-        if (!unheard() || behind() || resume_) return;
+        stream_.pauseReading(!input_.hasRoom());
+        if (input_.empty() || behind() || resume_) return;
         resume_ = owner_.loop_.after(Micros{1}, [this] {  // in the next turn
             resume_.reset();
             takeMessages();
@@ -481,12 +404,7 @@
 
     Front& owner_;
     std::uint64_t number_ = ++owner_.lastClient_;  // in the trace
-    net::RespParser parser_;
-    std::string ahead_;      // read, and not yet in words
-    Micros aheadSince_{};    // the first of those bytes
-    std::deque<Held> held_;  // in words, and not yet taken
-    std::size_t heldBytes_ = 0;
-    bool malformed_ = false;                      // what follows those can't be read
+    ClientMessages input_;
     std::unordered_map<std::string, Call> open_;  // by tag
     std::size_t counted_ = 0;
     Micros connectedAt_, lastUsed_, lastByte_, lastCall_{};
--- /dev/null
+++ b/src/platform/front_limits.hpp
@@ -0,0 +1,46 @@
+// Times, sizes and counts by which the platform's front treats its clients. They are the platform's figures,
+// in no setting.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "../core/decisions.hpp"
+
+namespace lotuslead::platform::limits {
+
+using core::Micros;
+using namespace std::chrono_literals;
+
+inline constexpr std::size_t kLargestAnswer = 240'000;
+inline constexpr std::size_t kProcessBytes = 8 * 1024 * 1024;  // of a process at rest, with all that it knows
+inline constexpr std::size_t kClientBacklog =
+    2 * 1024 * 1024;                              // unread answers at which a client is not read from
+inline constexpr std::size_t kClientsShare = 16;  // of them may be so far behind
+inline constexpr std::size_t kSlow = 256 * 1024;  // unread answers of one that reads slowly
+inline constexpr double kSpreads = 3;             // of answers' sizes, above their mean
+inline constexpr Micros kWayBack =
+    10ms;  // the client counts from when it sent; so long an answer is under way
+inline constexpr Micros kNoRoomPause = 200ms;
+// Bad clients: each is owed a refusal, an error or a close within 3 s of connecting.
+inline constexpr Micros kFirstMessage = 2800ms;  // from connecting to the first whole message
+inline constexpr Micros kHalfMessage = 2800ms;   // from the first byte of a later one to its last
+inline constexpr Micros kGentle = 500ms;         // for what was answered to be read before the close
+inline constexpr Micros kSilentYoung = 200ms;    // a new connection may still be about to ask
+inline constexpr Micros kStalledYoung = 50ms;    // and one that writes may be between two pieces
+inline constexpr Micros kHalfAtTheEnd = 200ms;   // and before the process ends it has so long to go on
+inline constexpr Micros kJustOpened = 1s;        // what comes so soon may have waited for this process
+inline constexpr Micros kLongestUnread = 5s;
+inline constexpr Micros kTakenBackAtOnce = 20ms;  // no client that waits for its answer does so
+// Operators send clients away: 4 s after that nobody is to be held.
+inline constexpr Micros kSweep = 50ms;
+inline constexpr Micros kDrainRefuses = 1900ms;
+// Where a connection has been refusing for so long, what is still open on it is failed: one slow request
+// would have hundreds refused behind it.
+inline constexpr Micros kDrainEnds = 2300ms;
+inline constexpr Micros kSilentDrained = 500ms;      // one that connects still has so long to ask
+inline constexpr std::size_t kOpenAConnection = 32;  // the protocol's bound
+inline constexpr int kMessagesATurn = 16;            // of one client; then the others have their turn
+inline constexpr int kMostStrikes = 12;              // useless messages in a row that a connection may bring
+
+}  // namespace lotuslead::platform::limits
--- a/tests/repository_test.cpp
+++ b/tests/repository_test.cpp
@@ -52,6 +52,26 @@
     assert(read(fat).status == 431 && fat.closed());
 }
 
+// A close over bytes that were not read resets the connection, and takes back an answer that is under way.
+void aRefusalIsReadThoughItsBodyWasNot() {
+    Repository server(1000);
+    Program program(repository(server, server), "LB_REPOSITORY");
+    const std::uint16_t port = program.port();
+    constexpr int kTries = 20;
+    int read413 = 0;
+    for (int i = 0; i < kTries; ++i) {
+        Connection c(port);
+        c.send("POST /index/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n");
+        c.send(std::string(300'000, 'b'));
+        std::this_thread::sleep_for(5ms);
+        c.send(std::string(10'000, 'b'));
+        std::this_thread::sleep_for(20ms);
+        read413 += read(c).status == 413 ? 1 : 0;
+    }
+    std::fprintf(stderr, "%d of %d refusals read\n", read413, kTries);
+    assert(read413 == kTries);
+}
+
 // The server's close and the next request are both there when the gateway looks.
 void anIdleConnectionThatWasJustClosedIsNotUsed() {
     Mark close, closed;
@@ -280,6 +300,7 @@
 }  // namespace
 
 int main() {
+    aRefusalIsReadThoughItsBodyWasNot();
     anIdleConnectionThatWasJustClosedIsNotUsed();
     whatAServerSaysOfItselfIsNoAnswer();
     aCopyThatNobodyNamedIsNotUnmodified();
