--- a/bench/soak/gateways.cpp
+++ b/bench/soak/gateways.cpp
@@ -145,6 +145,7 @@
             ::kill(process.pid, SIGKILL);
             judge_.killed(plan_.number);
             ::waitpid(process.pid, &status, 0);
+            judge_.servesAgain(plan_.number);
             return;
         }
         std::this_thread::sleep_for(kLookAgain);
@@ -162,6 +163,7 @@
     judge_.violation(Rule::crash, "gateway " + std::to_string(plan_.number) + " ended by itself, status " +
                                       std::to_string(status) + ", see " + process_.log);
     start();
+    judge_.servesAgain(plan_.number);
 }
 
 void Gateway::restart() {
@@ -182,7 +184,7 @@
     ::kill(process_.pid, SIGKILL);
     ::waitpid(process_.pid, nullptr, 0);
     start();
-    judge_.killed(plan_.number);
+    judge_.servesAgain(plan_.number);
 }
 
 void Gateway::holdUp() {
--- a/bench/soak/judge.cpp
+++ b/bench/soak/judge.cpp
@@ -217,6 +217,11 @@
 }
 
 void Judge::killed(int gateway) {
+    const std::lock_guard lock(mutex_);
+    killedAt_[gateway] = TimePoint::max() - kScheduling;
+}
+
+void Judge::servesAgain(int gateway) {
     const std::lock_guard lock(mutex_);
     killedAt_[gateway] = Clock::now();
 }
--- a/bench/soak/judge.hpp
+++ b/bench/soak/judge.hpp
@@ -73,7 +73,8 @@
     void saidCurrent(const std::string& trace);
 
     // ----- the world -----
-    void killed(int gateway);                          // SIGKILL
+    void killed(int gateway);  // SIGKILL: what comes until it serves again waits in its socket, or is refused
+    void servesAgain(int gateway);                     // after that
     void leaves(int gateway);                          // SIGTERM, without a successor
     void hasEnded(int gateway);                        // after that
     void stopped(int gateway, Millis time);            // SIGSTOP that is over
