--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -52,6 +52,9 @@
     std::size_t clients() const { return clients_.size(); }
     std::uint16_t port() const { return listener_->port(); }
     const Counters& counters() const { return counters_; }
+    net::Listener::Counters accepts() const {
+        return listener_ ? listener_->counters() : net::Listener::Counters{};
+    }
 
 private:
     class Client;
