Choose another connection where a request has come since one was chosen to be closed

Cause: found by reading the change again. What had been right when chosen and no longer was, a request that came between two looks at the socket, counted as a violation, and the new connection was turned away for it. Change: it counts as held back, and Front::makeRoom chooses again.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -74,7 +74,8 @@
         if (ending_ || !open_.empty() || !input_.empty() || !stream_.quiet()) return;
         if (input_.midMessage() && !last) return;
         if (!used_ && now - connectedAt_ < kSilentDrained) return;
-        if (!owner_.requests_.checks().require(core::mayClose(closeFacts()), "close", "a connection")) return;
+        // A request may have come since it was looked at.
+        if (!owner_.requests_.checks().allows(core::mayClose(closeFacts()))) return;
         ++owner_.counters_.drained;
         retired_ = true;
         endIfAnswered();
@@ -536,7 +537,8 @@
     const bool muteFirst = mute && (!resting || !mute->young() || 2 * fresh >= mostClients_);
     Client* one = muteFirst ? mute : resting;
     if (!one) return false;
-    if (!requests_.checks().require(core::mayClose(one->closeFacts()), "close", "a connection")) return false;
+    // A request may have come since it was chosen: then it is no longer one of those, and the next is.
+    if (!requests_.checks().allows(core::mayClose(one->closeFacts()))) return makeRoom();
     ++(one == resting ? counters_.closedIdle : one->half() ? counters_.halfMessages : counters_.silent);
     one->abandon();
     forget(one);
