--- a/tests/audit_raft.cpp
+++ b/tests/audit_raft.cpp
@@ -5,10 +5,19 @@
 //
 //   audit_raft --rounds N --seed S     last line: rounds=N committed=... lost=... twice=... disordered=...
 //   nonlinear=...
+//
+// With --folder-faults there are three agents, and in each round the folders of one, two or all three of them
+// fail beside the other troubles: fallocate, writes, syncs, renames, opens, removals, by seed and for 0.1 to
+// 30 s. The last line then ends with stuck=... (rounds in which no agent led 10 s after the last fault was
+// over) and crashed=... (agents that ended by themselves).
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <cmath>
+#include <iterator>
 #include <random>
 
+#include "faults.hpp"
 #include "raft_cluster.hpp"
 
 namespace {
@@ -16,7 +25,21 @@
 using namespace lotuslead;
 using namespace lotuslead::testing;
 
-constexpr int kAgents = 5, kWriters = 3, kReaders = 2, kListLength = 200;
+constexpr int kAgents = 5, kAgentsWithFolderFaults = 3;
+constexpr int kWriters = 3, kReaders = 2, kListLength = 200;
+constexpr auto kLedAgainWithin = 10s;
+constexpr double kShortestFault = 0.1, kLongestFault = 30;  // seconds
+
+// One rule a kind of call, each of which a round may leave out. Every second call or each one.
+constexpr const char* kFolderRules[] = {"fallocate=ENOSPC:1", "pwrite=ENOSPC:1", "pwrite=EIO:-2",
+                                        "sync=EIO:1",         "rename=EIO:1",    "open_file=EIO:1",
+                                        "unlink=EIO:1"};
+
+std::string folderRules() {
+    std::string all;
+    for (const char* rule : kFolderRules) all += (all.empty() ? "" : ";") + std::string(rule);
+    return all;
+}
 
 std::int64_t microsNow() {
     return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -35,16 +58,20 @@
 
 class Audit {
 public:
-    Audit(int rounds, std::uint64_t seed)
-        : rounds_(rounds), random_(seed), cluster_(kAgents, {{"snapshot_every", 40}}) {}
+    Audit(int rounds, std::uint64_t seed, bool folderFaults)
+        : rounds_(rounds),
+          agents_(folderFaults ? kAgentsWithFolderFaults : kAgents),
+          folderFaults_(folderFaults),
+          random_(seed),
+          cluster_(agents_, {{"snapshot_every", 40}}, [this](int id) { return variablesOf(id); }) {}
 
     int run() {
         cluster_.awaitLeader();
         std::vector<std::thread> clients;
         for (int i = 0; i < kWriters; ++i) clients.emplace_back([this, i] { write(i); });
         for (int i = 0; i < kReaders; ++i) clients.emplace_back([this, i] { read(i); });
-        for (int i = 1; i <= kAgents; ++i) clients.emplace_back([this, i] { follow(i); });
-        for (int i = 0; i < rounds_; ++i) round();
+        for (int i = 1; i <= agents_; ++i) clients.emplace_back([this, i] { follow(i); });
+        for (int i = 0; i < rounds_; ++i) folderFaults_ ? roundWithFolderFaults() : round();
         rest();
         std::this_thread::sleep_for(1500ms);
         over_ = true;
@@ -56,46 +83,109 @@
             "reads=%llu unknown=%llu conflicts=%llu leaders_killed=%d all_killed=%d splits=%d one_way=%d\n",
             static_cast<unsigned long long>(reads_), static_cast<unsigned long long>(unknown_),
             static_cast<unsigned long long>(conflicts_), killedLeaders_, killedAll_, splits_, oneWay_);
-        std::printf("rounds=%d committed=%llu lost=%llu twice=%llu disordered=%llu nonlinear=%llu\n", rounds_,
+        if (folderFaults_ && !ledAgainMs_.empty()) {
+            std::sort(ledAgainMs_.begin(), ledAgainMs_.end());
+            std::printf("without a leader after the last fault of a round: median %lld ms, worst %lld ms\n",
+                        static_cast<long long>(ledAgainMs_[ledAgainMs_.size() / 2]),
+                        static_cast<long long>(ledAgainMs_.back()));
+        }
+        std::printf("rounds=%d committed=%llu lost=%llu twice=%llu disordered=%llu nonlinear=%llu", rounds_,
                     static_cast<unsigned long long>(committed_), static_cast<unsigned long long>(lost_),
                     static_cast<unsigned long long>(twice_), static_cast<unsigned long long>(disordered_),
                     static_cast<unsigned long long>(nonlinear_));
-        return enough && lost_ + twice_ + disordered_ + nonlinear_ == 0 ? 0 : 1;
+        if (folderFaults_) std::printf(" stuck=%d crashed=%d", stuck_, crashed_);
+        std::printf("\n");
+        return enough && lost_ + twice_ + disordered_ + nonlinear_ == 0 && stuck_ + crashed_ == 0 ? 0 : 1;
     }
 
 private:
     // ----- faults -----
 
-    void rest() {
+    Program::Variables variablesOf(int id) const {
+        if (!folderFaults_) return {};
+        return folders_[static_cast<std::size_t>(id)].variables(folderRules());
+    }
+    void heal() {
         cluster_.relay.heal();
-        for (int id = 1; id <= kAgents; ++id)
+        for (int id = 1; id <= agents_; ++id)
             if (!cluster_.runs(id)) cluster_.start(id);
+    }
+    void rest() {
+        heal();
         cluster_.awaitLeader();
     }
+    // Folders fail, the usual troubles come beside that, and then all is well again.
+    void roundWithFolderFaults() {
+        const int failing = 1 + static_cast<int>(random_() % static_cast<unsigned>(agents_));
+        const int first = static_cast<int>(random_() % static_cast<unsigned>(agents_));
+        std::string mask;
+        for (std::size_t i = 0; i < std::size(kFolderRules); ++i) mask += random_() % 2 == 0 ? '1' : '0';
+        for (int i = 0; i < failing; ++i)
+            folders_[static_cast<std::size_t>(1 + (first + i) % agents_)].set(true, 0, mask);
+        const double part = std::uniform_real_distribution<double>(0, 1)(random_);
+        const double seconds = kShortestFault * std::pow(kLongestFault / kShortestFault, part);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+        trouble();
+        heal();
+        std::this_thread::sleep_until(until);
+        for (int id = 1; id <= agents_; ++id) folders_[static_cast<std::size_t>(id)].set(false);
+        noteCrashes();
+        heal();
+        awaitLeaderAgain();
+        hold(50, 250);
+        noteCrashes();
+    }
+    void noteCrashes() {
+        for (int id = 1; id <= agents_; ++id) {
+            const auto status = cluster_.endedByItself(id);
+            if (!status) continue;
+            ++crashed_;
+            std::printf("agent %d has ended by itself, wait status %d:\n%s\n", id, *status,
+                        cluster_.log(id).c_str());
+        }
+    }
+    void awaitLeaderAgain() {
+        const auto begin = std::chrono::steady_clock::now();
+        while (cluster_.leader() == 0) {
+            if (std::chrono::steady_clock::now() - begin > kLedAgainWithin) {
+                ++stuck_;
+                cluster_.awaitLeader();
+                return;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        const auto waited = std::chrono::steady_clock::now() - begin;
+        ledAgainMs_.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+    }
     void hold(int least, int most) {
         std::this_thread::sleep_for(std::chrono::milliseconds{
             least + static_cast<int>(random_() % static_cast<unsigned>(most - least))});
     }
     void split(std::vector<int> some) {
-        for (int a = 1; a <= kAgents; ++a)
-            for (int b = 1; b <= kAgents; ++b) {
+        for (int a = 1; a <= agents_; ++a)
+            for (int b = 1; b <= agents_; ++b) {
                 const bool inA = std::count(some.begin(), some.end(), a) > 0;
                 const bool inB = std::count(some.begin(), some.end(), b) > 0;
                 if (inA != inB) cluster_.relay.cut(a, b, true);
             }
     }
     void round() {
+        trouble();
+        rest();
+        hold(50, 250);
+    }
+    void trouble() {
         const int leader = cluster_.leader();
-        const int other = 1 + static_cast<int>(random_() % kAgents);
+        const int other = 1 + static_cast<int>(random_() % static_cast<unsigned>(agents_));
         switch (random_() % 6) {
             case 0:  // the leader with one other, against three
                 ++splits_;
-                if (leader != 0) split({leader, leader % kAgents + 1});
+                if (leader != 0) split({leader, leader % agents_ + 1});
                 hold(300, 900);
                 break;
             case 1:  // two who do not lead
                 ++splits_;
-                split({other, other % kAgents + 1});
+                split({other, other % agents_ + 1});
                 hold(200, 600);
                 break;
             case 2:  // nobody hears the leader, or it hears nobody
@@ -113,10 +203,10 @@
             case 4:
                 if (random_() % 2 == 0) {
                     ++killedAll_;
-                    for (int id = 1; id <= kAgents; ++id) cluster_.kill(id);
+                    for (int id = 1; id <= agents_; ++id) cluster_.kill(id);
                 } else {
                     cluster_.kill(other);
-                    cluster_.kill(other % kAgents + 1);
+                    cluster_.kill(other % agents_ + 1);
                 }
                 hold(20, 200);
                 break;
@@ -125,8 +215,6 @@
                 hold(200, 500);
                 break;
         }
-        rest();
-        hold(50, 250);
     }
 
     // ----- clients -----
@@ -150,7 +238,8 @@
         std::uint64_t session = 0, sequence = 0, count = 0;
         std::mt19937_64 random(static_cast<std::uint64_t>(writer) + 100);
         while (!over_) {
-            const auto client = cluster_.client(1 + static_cast<int>(random() % kAgents));
+            const auto client =
+                cluster_.client(1 + static_cast<int>(random() % static_cast<unsigned>(agents_)));
             if (session == 0) {
                 const auto opened = client.any("POST", "/sessions");
                 if (opened.status != 200) {
@@ -194,7 +283,8 @@
     void read(int reader) {
         std::mt19937_64 random(static_cast<std::uint64_t>(reader) + 200);
         while (!over_) {
-            const auto client = cluster_.client(1 + static_cast<int>(random() % kAgents));
+            const auto client =
+                cluster_.client(1 + static_cast<int>(random() % static_cast<unsigned>(agents_)));
             Operation operation;
             operation.list = listOf(list_);
             operation.begun = microsNow();
@@ -293,7 +383,11 @@
         }
     }
 
-    int rounds_;
+    int rounds_, agents_;
+    bool folderFaults_;
+    std::array<FaultSwitch, kAgentsWithFolderFaults + 1> folders_;  // by the agent's id
+    std::vector<std::int64_t> ledAgainMs_;
+    int stuck_ = 0, crashed_ = 0;
     std::mt19937_64 random_;
     Cluster cluster_;
     std::atomic<bool> over_{false};
@@ -311,13 +405,16 @@
 int main(int count, char** words) {
     int rounds = 0;
     std::uint64_t seed = 0;
-    for (int i = 1; i + 1 < count; i += 2) {
-        if (std::string(words[i]) == "--rounds") rounds = std::atoi(words[i + 1]);
-        if (std::string(words[i]) == "--seed") seed = std::strtoull(words[i + 1], nullptr, 10);
+    bool folderFaults = false;
+    for (int i = 1; i < count; ++i) {
+        const std::string word = words[i];
+        if (word == "--folder-faults") folderFaults = true;
+        if (word == "--rounds" && i + 1 < count) rounds = std::atoi(words[i + 1]);
+        if (word == "--seed" && i + 1 < count) seed = std::strtoull(words[i + 1], nullptr, 10);
     }
     if (rounds <= 0) {
-        std::fprintf(stderr, "audit_raft --rounds N --seed S\n");
+        std::fprintf(stderr, "audit_raft --rounds N --seed S [--folder-faults]\n");
         return 2;
     }
-    return Audit(rounds, seed).run();
+    return Audit(rounds, seed, folderFaults).run();
 }
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -1,4 +1,12 @@
-// A wall clock that was wrong when the process started: slow start is kept to, and ends.
+// A wall clock that was wrong when the process started: slow start is kept to, and ends; no copy passes that
+// is older than a purge.
+//
+// The gateway reads once at its start how far the wall clock is from the monotonic one, and takes a purge's
+// age out of the date that another machine gave it. With a clock that is an hour ahead a purge of one second
+// ago was an hour old: the PULL said `fresh=3601001` where 1001 is the most, and any store copy of the last
+// hour would do. A purge that is heard live can't be older than the time since the bus was last asked; one of
+// the start counts as made at the start. The same clock judged `minted`: with a purge's age right and the
+// clock wrong, good copies passed for too old.
 #include "faults.hpp"
 #include "moments.hpp"
 
@@ -88,12 +96,68 @@
     assert(pulls >= kCalls / 2);
 }
 
+// What the store is asked for one second after a purge, with a copy made after it.
+struct AskedAfterAPurge {
+    std::int64_t freshMs = 0;    // told to the store
+    std::int64_t elapsedMs = 0;  // since the purge was made
+    bool served = false;
+};
+
+constexpr std::int64_t kPurgedBeforeStartMs = 10'000;
+
+AskedAfterAPurge askAfterAPurge(const std::string& clockRule, bool beforeTheStart) {
+    AskedAfterAPurge seen;
+    std::atomic<std::int64_t> freshMs{0}, pulledMs{0};
+    Fleet fleet;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        freshMs = std::atoll(valueOf(words[2], "fresh").c_str());
+        pulledMs = unixMs();
+        c.sendResp({words[1], "ok",
+                    "tag=4be0c1927d55a6f3,minted=" + std::to_string(unixMs()) + ",remark=local", "new"});
+    }));
+    Bus bus;
+    json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+    settings["bus"] = bus.address();
+    std::int64_t purgedMs = unixMs() - kPurgedBeforeStartMs;
+    if (beforeTheStart) bus.note({{"ban", {{"url", kEntity}, {"ts", purgedMs}}}});
+    Program program(settings, "LB_CONFIG", 1024, faultVariables(clockRule));
+    Connection client(program.port());
+    if (!beforeTheStart) {
+        std::this_thread::sleep_for(300ms);
+        purgedMs = unixMs();
+        bus.tell({{"ban", {{"url", kEntity}, {"ts", purgedMs}}}});
+    }
+    std::this_thread::sleep_for(1s);
+    call(client, "1");
+    const std::vector<std::string> answer = client.readResp();
+    seen.served = answer.size() > 3 && answer[3] == "new";
+    seen.freshMs = freshMs;
+    seen.elapsedMs = pulledMs - purgedMs;
+    std::fprintf(stderr, "%s: fresh=%lld, purged %lld ms ago, %s\n", clockRule.c_str(),
+                 static_cast<long long>(seen.freshMs), static_cast<long long>(seen.elapsedMs),
+                 seen.served ? "served" : "not served");
+    return seen;
+}
+
+void purgesHoldWithAWrongClock(bool beforeTheStart) {
+    for (const char* clockRule :
+         {"realtime=5", "realtime=3600", "realtime=-5", "realtime=-3600", "realtime=0"}) {
+        const AskedAfterAPurge seen = askAfterAPurge(clockRule, beforeTheStart);
+        assert(seen.freshMs > 0 && seen.freshMs <= seen.elapsedMs + 1);
+        assert(seen.served);
+    }
+}
+void aPurgeThatIsHeardHolds() { purgesHoldWithAWrongClock(false); }
+void aPurgeFromBeforeTheStartHolds() { purgesHoldWithAWrongClock(true); }
+
 }  // namespace
 
 int main(int count, char** words) {
     const Story stories[] = {
         {"ahead", aClockThatIsAheadDoesNotWarmAColdStore},
         {"behind", aClockThatIsBehindDoesNotKeepAStoreCold},
+        {"purge-heard", aPurgeThatIsHeardHolds},
+        {"purge-before-start", aPurgeFromBeforeTheStartHolds},
     };
     playStories(stories, count, words);
     return 0;
--- a/tests/faults.hpp
+++ b/tests/faults.hpp
@@ -26,9 +26,12 @@
     ~FaultSwitch() { std::remove(path_.c_str()); }
     FaultSwitch(const FaultSwitch&) = delete;
 
-    void set(bool inForce, double clockOffsetSeconds = 0) {
+    // `mask`: a '1' or '0' for each rule, in their order; empty: all of them.
+    void set(bool inForce, double clockOffsetSeconds = 0, const std::string& mask = {}) {
+        constexpr std::size_t kMaskAt = 32;
         char text[64] = {};
-        std::snprintf(text, sizeof text, "%c%.3f", inForce ? '1' : '0', clockOffsetSeconds);
+        std::snprintf(text, kMaskAt, "%c%.3f", inForce ? '1' : '0', clockOffsetSeconds);
+        std::copy(mask.begin(), mask.end(), text + kMaskAt);
         const int fd = ::open(path_.c_str(), O_WRONLY | O_CLOEXEC);
         const bool written = ::pwrite(fd, text, sizeof text, 0) == sizeof text;
         assert(written);
--- a/tests/faults/fault_injection.cpp
+++ b/tests/faults/fault_injection.cpp
@@ -8,13 +8,15 @@
 //
 // EVERY may be negative: then the first call of each -EVERY fails, which includes the very first one.
 // LOTUSLEAD_FAULTS_SWITCH may name a file: its first byte is '1' while the rules are in force, and the text
-// behind it, a number of seconds, is added to the wall clock. Without the variable they always are.
+// behind it, a number of seconds, is added to the wall clock. Without the variable they always are. From byte
+// kSwitchMask on it may have a byte for each rule, in their order: '0' leaves that one out.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/time.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -24,6 +26,7 @@
 #include <atomic>
 #include <cerrno>
 #include <climits>
+#include <cstdarg>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -34,6 +37,7 @@
 
 constexpr std::size_t kMostRules = 32;
 constexpr std::size_t kSwitchBytes = 64;
+constexpr std::size_t kSwitchMask = 32;
 
 struct Rule {
     char call[24] = {};
@@ -86,7 +90,7 @@
         if (!inForce()) return false;
         for (std::size_t i = 0; i < count_; ++i) {
             Rule& rule = rules_[i];
-            if (rule.error == 0 || std::strcmp(rule.call, call) != 0) continue;
+            if (rule.error == 0 || std::strcmp(rule.call, call) != 0 || leftOut(i)) continue;
             const long number = ++rule.calls;
             if (number < rule.first || rule.failures >= rule.count) continue;
             const long every = std::labs(rule.every);
@@ -118,7 +122,8 @@
         if (const char* text = std::getenv("LOTUSLEAD_FAULTS")) read(text);
         const char* path = std::getenv("LOTUSLEAD_FAULTS_SWITCH");
         if (!path) return;
-        const int fd = ::open(path, O_RDONLY | O_CLOEXEC);
+        // Not by open(), which asks for this object.
+        const int fd = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path, O_RDONLY | O_CLOEXEC));
         if (fd < 0) return;
         void* page = ::mmap(nullptr, kSwitchBytes, PROT_READ, MAP_SHARED, fd, 0);
         ::close(fd);
@@ -127,6 +132,8 @@
 
     bool inForce() const { return count_ > 0 && (!switch_ || switch_[0] == '1'); }
 
+    bool leftOut(std::size_t rule) const { return switch_ && switch_[kSwitchMask + rule] == '0'; }
+
     void read(const char* text) {
         while (*text != '\0') {
             const std::size_t length = std::strcspn(text, ";");
@@ -307,6 +314,33 @@
     return real(fd, operation, target, event);
 }
 
+int rename(const char* from, const char* to) noexcept {
+    static const auto real = next<int(const char*, const char*)>("rename");
+    return fails("rename") ? -1 : real(from, to);
+}
+
+int unlink(const char* path) noexcept {
+    static const auto real = next<int(const char*)>("unlink");
+    return fails("unlink") ? -1 : real(path);
+}
+
+// The system call; the rule "open" is for the C library's streams.
+int open64(const char* path, int flags, ...) {
+    static const auto real = next<int(const char*, int, ...)>("open64");
+    va_list arguments;
+    va_start(arguments, flags);
+    const mode_t mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+    return fails("open_file") ? -1 : real(path, flags, mode);
+}
+int open(const char* path, int flags, ...) {
+    va_list arguments;
+    va_start(arguments, flags);
+    const mode_t mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+    return open64(path, flags, mode);
+}
+
 FILE* fopen64(const char* path, const char* mode) {
     static const auto real = next<decltype(fopen64)>("fopen64");
     return fails("open") ? nullptr : real(path, mode);
--- a/tests/raft_cluster.hpp
+++ b/tests/raft_cluster.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstring>
 #include <filesystem>
+#include <optional>
 
 #include "ctl/client.hpp"
 #include "loopback.hpp"
@@ -121,7 +122,11 @@
 
 class Cluster {
 public:
-    explicit Cluster(int size, json more = json::object()) : size_(size), more_(std::move(more)) {
+    using Variables = std::function<Program::Variables(int id)>;
+
+    // `variables`: set for the agent of that id.
+    explicit Cluster(int size, json more = json::object(), Variables variables = {})
+        : size_(size), more_(std::move(more)), variables_(std::move(variables)) {
         char folder[] = "/tmp/lotuslead-raft-XXXXXX";
         folder_ = ::mkdtemp(folder);
         // The agents must know each other's ports beforehand: an address of this process's own has all free.
@@ -165,6 +170,8 @@
         if (pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (!std::freopen(log.c_str(), "a", stderr)) ::_exit(126);
+            if (variables_)
+                for (const auto& [name, value] : variables_(id)) ::setenv(name.c_str(), value.c_str(), 1);
             ::execl(LOTUSLEAD_AGENT, LOTUSLEAD_AGENT, file.c_str(), nullptr);
             ::_exit(127);
         }
@@ -177,6 +184,13 @@
         pids_.erase(id);
     }
     bool runs(int id) const { return pids_.count(id) != 0; }
+    // Once: the wait status of an agent that has ended without having been killed.
+    std::optional<int> endedByItself(int id) {
+        int status = 0;
+        if (!runs(id) || ::waitpid(pids_.at(id), &status, WNOHANG) != pids_.at(id)) return {};
+        pids_.erase(id);
+        return status;
+    }
     pid_t pid(int id) const { return pids_.at(id); }
     ctl::Client client(int first = 1) const {
         std::vector<std::string> all;
@@ -212,6 +226,7 @@
 private:
     int size_;
     json more_;
+    Variables variables_;
     std::string folder_, host_;
     std::vector<json> members_;
     std::map<int, pid_t> pids_;
