Keep what an agent's disk does not take and write it again, so that agents outlive it

At a follower set_term fails (RAFT_IOERR) and the core turns RAFT_UNAVAILABLE for good; the other one's files stay unusable. Change: RaftStorage behind libraft's raft_io keeps failed writes and tries again, the core never hears of one; a vote that is not durable leaves in no message; while writes fail nothing is proposed, no votes are asked for and the lead is handed over. A start waits for its folder. A cluster file left empty by a full disk is written again.

--- a/src/agent/consensus.hpp
+++ b/src/agent/consensus.hpp
@@ -1,21 +1,15 @@
-// Raft among the agents, by libraft and its libuv back end, which is run from this program's own loop.
+// Raft among the agents, by libraft, whose libuv loop is run from this program's own.
 #pragma once
 
-#include <uv.h>
-
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
-extern "C" {  // libraft's headers don't say so themselves
-#include <raft.h>
-#include <raft/uv.h>
-}
-
 #include "../config/store.hpp"
 #include "../net/loop.hpp"
-#include "raft_guard.hpp"
+#include "raft_host.hpp"
 
 namespace lotuslead::agent {
 
@@ -63,6 +57,8 @@
     bool leads();
     std::uint64_t leader();  // 0: none is known
     std::uint64_t applied();
+    // How long writes of this agent's log have failed; zero: they don't. Nothing is proposed meanwhile.
+    std::chrono::milliseconds storageFailingFor() const { return host_->storage().failingFor(); }
     // Since this agent last heard of a leader, or of its majority where it leads itself, at most.
     std::int64_t ageMs();
 
@@ -81,11 +77,21 @@
 
 private:
     struct Proposal;
+    struct PendingProposal {
+        std::uint64_t number = 0;
+        net::Micros begunAt{};
+        Done done;
+    };
     struct Barrier;
     struct MemberChange;
 
     std::uint32_t ready(std::uint32_t) override { return 0; }  // turn() follows in any case
-    void check(int result, const char* what);
+    static raft_fsm stateMachineOf(Consensus& self);
+    void bootstrap(const std::vector<Member>& members);
+    void answer(std::uint64_t number, Fate fate, const config::Outcome& outcome);
+    void answerOverdueProposals();
+    void handOverWhileStorageFails();
+    void askForBarrier();
     void change(int (*begin)(raft*, raft_change*, std::uint64_t, const char*), std::uint64_t id,
                 const std::string& address, Changed changed);
 
@@ -94,13 +100,15 @@
     std::function<void()> changed_;
     config::Outcome outcome_;  // of the command applied last
     std::vector<std::function<void(bool)>> reads_;
-    uv_loop_t uv_{};
-    raft_uv_transport transport_{};
-    GuardedIo io_;
-    raft_fsm fsm_{};
-    raft raft_{};
+    net::Micros electionTimeout_;
+    std::deque<PendingProposal> proposals_;  // that are not answered for, the oldest first
+    std::uint64_t lastProposal_ = 0;
+    struct raft_transfer transfer_ {};
+    bool handingOver_ = false;
+    net::Micros handOverAgainAt_{};
+    raft_fsm fsm_;
+    std::optional<RaftHost> host_;  // ends first: its callbacks use all above
     net::Loop::HandlerId handler_ = 0;
-    bool closed_ = false;
 };
 
 }  // namespace lotuslead::agent
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -26,10 +26,10 @@
 Answer answerOf(Consensus::Fate fate, const config::Outcome& outcome) {
     using Fate = Consensus::Fate;
     using Word = config::Outcome::Word;
-    if (fate == Fate::refused) return jsonAnswer(503, {{"word", "refused"}, {"why", "no leader now"}});
+    if (fate == Fate::refused)
+        return jsonAnswer(503, {{"word", "refused"}, {"why", "no leader that can write its log now"}});
     if (fate == Fate::unknown)
-        return jsonAnswer(503,
-                          {{"word", "unknown"}, {"why", "leadership was lost; it may be applied or not"}});
+        return jsonAnswer(503, {{"word", "unknown"}, {"why", "it may be applied yet, or never"}});
     json body = {{"word", config::nameOf(outcome.word)}, {"revision", outcome.revision}};
     if (!outcome.key.empty()) body["key"] = outcome.key;
     return jsonAnswer(outcome.word == Word::done ? 200 : 409, body);
@@ -309,8 +309,9 @@
     command.transaction.atMs = unixMs();
     if (!consensus_.leads()) return toLeader(head.target, reply);
     consensus_.propose(config::encode(command), [reply](Consensus::Fate fate, const config::Outcome&) {
-        reply(fate == Consensus::Fate::applied ? Answer{200, "agreed\n", {}}
-                                               : Answer{503, "not agreed\n", {}});
+        reply(fate == Consensus::Fate::applied   ? Answer{200, "agreed\n", {}}
+              : fate == Consensus::Fate::refused ? Answer{503, "not agreed\n", {}}
+                                                 : Answer{503, "unknown: it may be agreed on yet\n", {}});
     });
 }
 
@@ -350,10 +351,15 @@
         if (const auto here = supervisor_.status(name))
             running[name].update({{"phase", here->phase}, {"pid", here->pid}, {"restarts", here->restarts}});
     }
-    return {{"agent", configuration_.id},      {"leader", consensus_.leader()},
-            {"applied", consensus_.applied()}, {"revision", store_.revision()},
-            {"documents", store_.size()},      {"last_event", store_.lastEvent()},
-            {"age_ms", consensus_.ageMs()},    {"instances", running}};
+    return {{"agent", configuration_.id},
+            {"leader", consensus_.leader()},
+            {"applied", consensus_.applied()},
+            {"revision", store_.revision()},
+            {"documents", store_.size()},
+            {"last_event", store_.lastEvent()},
+            {"age_ms", consensus_.ageMs()},
+            {"storage_failing_ms", consensus_.storageFailingFor().count()},
+            {"instances", running}};
 }
 
 }  // namespace lotuslead::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <sstream>
 #include <system_error>
+#include <utility>
 
 #include "../net/call.hpp"
 #include "../net/signals.hpp"
@@ -43,12 +44,17 @@
     const std::string mine = configuration.cluster + " " + std::to_string(configuration.id) + "\n";
     std::ifstream file(path);
     std::ostringstream text;
-    if (file && (text << file.rdbuf()) && text.str() != mine) {
-        std::string whose = text.str();
+    if (file) text << file.rdbuf();
+    std::string whose = text.str();
+    if (whose == mine) return;
+    if (!whose.empty() && whose.back() == '\n') {
         whose.pop_back();
         throw settings::Malformed("field 'folder': it belongs to cluster and agent '" + whose + "'");
     }
-    if (!file) std::ofstream(path) << mine;
+    // There is none, or the disk was full when it was written.
+    std::ofstream claim(path);
+    claim << mine;
+    if (!claim.flush()) throw StorageUnavailable("cannot write '" + path + "'");
 }
 
 class Agent : private net::Handler {
@@ -122,6 +128,31 @@
     std::optional<EventFeed> feed_;
 };
 
+// Until the folder can be read and written, or a signal says to end.
+bool waitForStorage() {
+    constexpr timespec kBetween{0, 250'000'000};
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int number : {SIGTERM, SIGINT}) sigaddset(&set, number);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    return ::sigtimedwait(&set, nullptr, &kBetween) < 0;
+}
+
+int run(const AgentConfiguration& configuration) {
+    bool told = false;
+    do {
+        try {
+            claimFolder(configuration);
+            return Agent(configuration).run();
+        } catch (const StorageUnavailable& problem) {
+            if (!std::exchange(told, true))
+                std::fprintf(stderr, "agent: its folder is not to be had: %s; trying again\n",
+                             problem.what());
+        }
+    } while (waitForStorage());
+    return 0;
+}
+
 // For a majority that is lost for good. Any member that answers may be part of one.
 int recoverAlone(const AgentConfiguration& configuration) {
     net::Loop loop;
@@ -169,8 +200,9 @@
     }
     try {
         const AgentConfiguration configuration = readAgentConfiguration(contentsOf(words[count - 1]));
+        if (!recovers) return run(configuration);
         claimFolder(configuration);
-        return recovers ? recoverAlone(configuration) : Agent(configuration).run();
+        return recoverAlone(configuration);
     } catch (const settings::Malformed& problem) {
         std::fprintf(stderr, "lotuslead_agent: bad configuration: %s\n", problem.what());
         return 2;
--- a/src/agent/raft_guard.hpp
+++ b/src/agent/raft_guard.hpp
@@ -69,22 +69,27 @@
         if (request.prev_log_index >= snapshot || request.term < core.current_term) return;
         const auto known =
             static_cast<unsigned>(std::min<raft_index>(snapshot - request.prev_log_index, request.n_entries));
-        // Of those that go the memory goes, too, unless one that stays shares it.
-        void* stays = known < request.n_entries ? request.entries[known].batch : nullptr;
-        for (unsigned i = 0; i < known; ++i) {
+        dropEntries(request, known);
+        request.prev_log_index = snapshot;
+        request.prev_log_term = core.log.snapshot.last_term;
+    }
+    // Frees the first `count` entries; the others move up.
+    static void dropEntries(raft_append_entries& request, unsigned count) {
+        if (count == 0) return;
+        // Their memory goes, too, unless one that stays shares it.
+        void* stays = count < request.n_entries ? request.entries[count].batch : nullptr;
+        for (unsigned i = 0; i < count; ++i) {
             void* batch = request.entries[i].batch;
-            const bool shared = i + 1 < known && request.entries[i + 1].batch == batch;
+            const bool shared = i + 1 < count && request.entries[i + 1].batch == batch;
             if (batch != stays && !shared) raft_free(batch);
         }
-        request.n_entries -= known;
-        if (known > 0 && request.n_entries == 0) {
+        request.n_entries -= count;
+        if (request.n_entries == 0) {
             raft_free(request.entries);
             request.entries = nullptr;
-        } else if (known > 0) {
-            std::copy(request.entries + known, request.entries + known + request.n_entries, request.entries);
+        } else {
+            std::copy(request.entries + count, request.entries + count + request.n_entries, request.entries);
         }
-        request.prev_log_index = snapshot;
-        request.prev_log_term = core.log.snapshot.last_term;
     }
     static GuardedIo& of(raft_io* io) { return *reinterpret_cast<GuardedIo*>(io); }
 
--- /dev/null
+++ b/src/agent/raft_storage.cpp
@@ -0,0 +1,416 @@
+#include "raft_storage.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <exception>
+#include <memory>
+#include <new>
+#include <utility>
+
+namespace lotuslead::agent {
+
+namespace {
+
+constexpr std::uint64_t kRetryMs = 100;
+constexpr std::size_t kMostBatchBytes = std::size_t{16} << 20;  // of appends that are written together
+constexpr std::uint64_t kBootstrapTerm = 1;
+
+raft_buffer copyOf(std::string_view bytes) {
+    raft_buffer buffer{};
+    if (bytes.empty()) return buffer;
+    buffer.base = raft_malloc(bytes.size());
+    if (buffer.base == nullptr) throw std::bad_alloc();
+    buffer.len = bytes.size();
+    std::memcpy(buffer.base, bytes.data(), bytes.size());
+    return buffer;
+}
+
+template <class Value>
+Value* allocate(std::size_t count = 1) {
+    void* memory = raft_calloc(count, sizeof(Value));
+    if (memory == nullptr) throw std::bad_alloc();
+    return static_cast<Value*>(memory);
+}
+
+std::string_view bytesOf(const raft_buffer& buffer) {
+    return {static_cast<const char*>(buffer.base), buffer.len};
+}
+
+LogSnapshot copyOf(const raft_snapshot& from) {
+    LogSnapshot snapshot;
+    snapshot.index = from.index;
+    snapshot.term = from.term;
+    snapshot.configurationIndex = from.configuration_index;
+    for (unsigned i = 0; i < from.configuration.n; ++i) {
+        const raft_server& server = from.configuration.servers[i];
+        snapshot.members.push_back({server.id, server.address, server.role});
+    }
+    for (unsigned i = 0; i < from.n_bufs; ++i) snapshot.data += bytesOf(from.bufs[i]);
+    return snapshot;
+}
+
+// In memory that the core will free.
+raft_snapshot* forCore(const LogSnapshot& from) {
+    auto* snapshot = allocate<raft_snapshot>();
+    snapshot->index = from.index;
+    snapshot->term = from.term;
+    snapshot->configuration_index = from.configurationIndex;
+    raft_configuration_init(&snapshot->configuration);
+    for (const SnapshotMember& member : from.members)
+        raft_configuration_add(&snapshot->configuration, member.id, member.address.c_str(), member.role);
+    snapshot->bufs = allocate<raft_buffer>();
+    *snapshot->bufs = copyOf(from.data);
+    snapshot->n_bufs = 1;
+    return snapshot;
+}
+
+}  // namespace
+
+struct RaftStorage::SnapshotRead {
+    uv_work_t work{};
+    RaftStorage* storage = nullptr;
+    raft_io_snapshot_get* request = nullptr;
+    raft_io_snapshot_get_cb done = nullptr;
+    std::string folder;
+    std::optional<LogSnapshot> snapshot;
+};
+
+RaftStorage::RaftStorage(uv_loop_t& loop, const std::string& folder)
+    : loop_(loop), folder_(folder), log_(folder), content_(log_.open()), ballot_(content_.ballot) {
+    nextIndex_ = content_.firstIndex + content_.entries.size();
+    uv_timer_init(&loop_, &retryTimer_);
+    uv_timer_init(&loop_, &withheldTimer_);
+    work_.data = retryTimer_.data = withheldTimer_.data = this;
+}
+
+void RaftStorage::attach(StoredIo& stored) {
+    io_ = &stored;
+    stored.storage = this;
+    raft_io& io = stored.guarded.io;
+    transportStart_ = io.start;
+    transportSend_ = io.send;
+    transportClose_ = io.close;
+    io.load = [](raft_io* self, raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* first,
+                 raft_entry** entries,
+                 std::size_t* count) { return of(self).load(term, vote, snapshot, first, entries, count); };
+    io.bootstrap = [](raft_io* self, const raft_configuration* configuration) {
+        return of(self).bootstrap(*configuration);
+    };
+    io.recover = [](raft_io* self, const raft_configuration* configuration) {
+        return of(self).recover(*configuration);
+    };
+    io.set_term = [](raft_io* self, raft_term term) { return of(self).setBallot({term, 0}); };
+    io.set_vote = [](raft_io* self, raft_id id) { return of(self).setBallot({of(self).ballot_.term, id}); };
+    io.append = [](raft_io* self, raft_io_append* request, const raft_entry* entries, unsigned count,
+                   raft_io_append_cb done) { return of(self).append(request, entries, count, done); };
+    io.truncate = [](raft_io* self, raft_index index) {
+        of(self).nextIndex_ = index;  // the next append replaces what is there
+        return 0;
+    };
+    io.snapshot_put = [](raft_io* self, unsigned trailing, raft_io_snapshot_put* request,
+                         const raft_snapshot* snapshot, raft_io_snapshot_put_cb done) {
+        return of(self).putSnapshot(trailing, request, *snapshot, done);
+    };
+    io.snapshot_get = [](raft_io* self, raft_io_snapshot_get* request, raft_io_snapshot_get_cb done) {
+        return of(self).getSnapshot(request, done);
+    };
+    io.send = [](raft_io* self, raft_io_send* request, const raft_message* message, raft_io_send_cb done) {
+        return of(self).send(request, message, done);
+    };
+    io.start = [](raft_io* self, unsigned ms, raft_io_tick_cb tick, raft_io_recv_cb handle) {
+        of(self).receive_ = handle;
+        return of(self).transportStart_(
+            self, ms, tick, [](raft_io* here, raft_message* message) { of(here).receive(message); });
+    };
+    io.close = [](raft_io* self, raft_io_close_cb done) { of(self).close(done); };
+}
+
+std::chrono::milliseconds RaftStorage::failingFor() const {
+    return std::chrono::milliseconds{failingSince_ == 0 ? 0 : uv_now(&loop_) - failingSince_ + 1};
+}
+
+// ----- what the core asks for at its start -----
+
+int RaftStorage::load(raft_term* term, raft_id* vote, raft_snapshot** snapshot, raft_index* firstIndex,
+                      raft_entry** entries, std::size_t* count) {
+    const RaftLog::Content content = std::exchange(content_, {});
+    *term = ballot_.term;
+    *vote = ballot_.vote;
+    *snapshot = content.snapshot ? forCore(*content.snapshot) : nullptr;
+    *firstIndex = content.firstIndex;
+    *count = content.entries.size();
+    *entries = content.entries.empty() ? nullptr : allocate<raft_entry>(content.entries.size());
+    for (std::size_t i = 0; i < content.entries.size(); ++i) {
+        const LogEntry& from = content.entries[i];
+        (*entries)[i] = {from.term, from.type, copyOf(from.data), nullptr};
+    }
+    return 0;
+}
+
+int RaftStorage::appendConfiguration(const raft_configuration& configuration, std::uint64_t term) {
+    raft_buffer buffer{};
+    if (const int result = raft_configuration_encode(&configuration, &buffer); result != 0) return result;
+    const LogEntryView entry{term, RAFT_CHANGE, bytesOf(buffer)};
+    int result = 0;
+    try {
+        log_.append(nextIndex_, {&entry, 1});
+        content_.entries.push_back({entry.term, entry.type, std::string(entry.data)});
+        ++nextIndex_;
+    } catch (const std::exception& problem) {
+        std::snprintf(io_->guarded.io.errmsg, sizeof io_->guarded.io.errmsg, "%s", problem.what());
+        result = RAFT_IOERR;
+    }
+    raft_free(buffer.base);
+    return result;
+}
+
+int RaftStorage::bootstrap(const raft_configuration& configuration) {
+    if (content_.snapshot || !content_.entries.empty() || ballot_.term > 0) return RAFT_CANTBOOTSTRAP;
+    if (const int result = appendConfiguration(configuration, kBootstrapTerm); result != 0) return result;
+    return setBallot({kBootstrapTerm, 0});
+}
+
+int RaftStorage::recover(const raft_configuration& configuration) {
+    return appendConfiguration(configuration, std::max(ballot_.term, kBootstrapTerm));
+}
+
+// ----- term and vote -----
+
+int RaftStorage::setBallot(const Ballot& ballot) {
+    ballot_ = ballot;
+    ballotPending_ = true;
+    if (!writeBallot()) retryLater();
+    return 0;
+}
+
+bool RaftStorage::writeBallot() {
+    try {
+        log_.writeBallot(ballot_);
+    } catch (const std::exception& problem) {
+        noteFailure(problem.what());
+        return false;
+    }
+    ballotPending_ = false;
+    if (waiting_.empty() && inHand_.empty()) noteSuccess();
+    return true;
+}
+
+// ----- entries and snapshots -----
+
+int RaftStorage::append(raft_io_append* request, const raft_entry* entries, unsigned count,
+                        raft_io_append_cb done) {
+    Job& job = waiting_.emplace_back();
+    job.append = request;
+    job.appended = done;
+    job.entries = entries;
+    job.count = count;
+    job.firstIndex = nextIndex_;
+    for (unsigned i = 0; i < count; ++i) job.bytes += entries[i].buf.len;
+    nextIndex_ += count;
+    unwrittenBytes_ += job.bytes;
+    startWriting();
+    return 0;
+}
+
+int RaftStorage::putSnapshot(unsigned trailing, raft_io_snapshot_put* request, const raft_snapshot& snapshot,
+                             raft_io_snapshot_put_cb done) {
+    const bool installs = trailing == 0;
+    Job& job = waiting_.emplace_back();
+    job.kind = installs ? Job::Kind::install : Job::Kind::snapshot;
+    job.put = request;
+    job.stored = done;
+    job.snapshot = copyOf(snapshot);
+    job.keepFrom = snapshot.index >= trailing ? snapshot.index - trailing + 1 : 1;
+    if (installs) nextIndex_ = snapshot.index + 1;
+    startWriting();
+    return 0;
+}
+
+int RaftStorage::getSnapshot(raft_io_snapshot_get* request, raft_io_snapshot_get_cb done) {
+    auto read = std::make_unique<SnapshotRead>();
+    read->work.data = read.get();
+    read->storage = this;
+    read->request = request;
+    read->done = done;
+    read->folder = folder_;
+    const int result = uv_queue_work(
+        &loop_, &read->work,
+        [](uv_work_t* work) {
+            auto& self = *static_cast<SnapshotRead*>(work->data);
+            try {
+                self.snapshot = RaftLog::readSnapshot(self.folder);
+            } catch (const std::exception& problem) {
+                std::fprintf(stderr, "agent: raft log: %s\n", problem.what());
+            }
+        },
+        [](uv_work_t* work, int) {
+            const std::unique_ptr<SnapshotRead> self(static_cast<SnapshotRead*>(work->data));
+            --self->storage->snapshotReads_;
+            // The core takes status zero for a promise that there is a snapshot.
+            if (self->snapshot)
+                self->done(self->request, forCore(*self->snapshot), 0);
+            else
+                self->done(self->request, nullptr, RAFT_IOERR);
+            self->storage->closeTransportOnceIdle();
+        });
+    if (result != 0) return RAFT_NOMEM;
+    ++snapshotReads_;
+    static_cast<void>(read.release());
+    return 0;
+}
+
+// Appends that wait together are written together; a snapshot alone.
+void RaftStorage::takeInHand() {
+    std::size_t bytes = 0;
+    while (!waiting_.empty() && bytes < kMostBatchBytes) {
+        const Job& next = waiting_.front();
+        if (!inHand_.empty()) {
+            const Job& last = inHand_.back();
+            const bool follows = last.kind == Job::Kind::append && next.kind == Job::Kind::append &&
+                                 last.firstIndex + last.count == next.firstIndex;
+            if (!follows) return;
+        }
+        bytes += next.bytes;
+        inHand_.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    }
+}
+
+void RaftStorage::startWriting() {
+    if (writing_ || closing_) return;
+    if (inHand_.empty()) takeInHand();
+    if (inHand_.empty()) return;
+    if (ballotPending_ && !writeBallot()) return retryLater();  // no entry outlives the term it was taken in
+    writeProblem_.clear();
+    const int result = uv_queue_work(
+        &loop_, &work_, [](uv_work_t* work) { static_cast<RaftStorage*>(work->data)->writeInHand(); },
+        [](uv_work_t* work, int) { static_cast<RaftStorage*>(work->data)->finishWriting(); });
+    writing_ = result == 0;
+    if (!writing_) retryLater();
+}
+
+void RaftStorage::writeInHand() {
+    try {
+        const Job& first = inHand_.front();
+        if (first.kind == Job::Kind::snapshot) return log_.writeSnapshot(first.snapshot, first.keepFrom);
+        if (first.kind == Job::Kind::install) return log_.installSnapshot(first.snapshot);
+        std::vector<LogEntryView> entries;
+        for (const Job& job : inHand_)
+            for (unsigned i = 0; i < job.count; ++i) {
+                const raft_entry& entry = job.entries[i];
+                entries.push_back({entry.term, entry.type, bytesOf(entry.buf)});
+            }
+        log_.append(first.firstIndex, entries);
+    } catch (const std::exception& problem) {
+        writeProblem_ = problem.what();
+    }
+}
+
+void RaftStorage::finishWriting() {
+    writing_ = false;
+    if (writeProblem_.empty()) {
+        noteSuccess();
+        // A callback may ask for further jobs.
+        for (const Job& job : std::exchange(inHand_, {})) {
+            unwrittenBytes_ -= job.bytes;
+            complete(job, 0);
+        }
+        startWriting();
+    } else {
+        noteFailure(writeProblem_);
+        retryLater();
+    }
+    closeTransportOnceIdle();
+}
+
+void RaftStorage::complete(const Job& job, int status) {
+    if (job.kind == Job::Kind::append)
+        job.appended(job.append, status);
+    else
+        job.stored(job.put, status);
+}
+
+void RaftStorage::retryLater() {
+    if (closing_) return;
+    uv_timer_start(
+        &retryTimer_,
+        [](uv_timer_t* timer) {
+            auto& self = *static_cast<RaftStorage*>(timer->data);
+            if (self.ballotPending_ && !self.writeBallot()) return self.retryLater();
+            self.startWriting();
+        },
+        kRetryMs, 0);
+}
+
+// ----- failures, as operators see them -----
+
+void RaftStorage::noteFailure(const std::string& what) {
+    ++counters_.failures;
+    if (failingSince_ != 0) return;
+    failingSince_ = uv_now(&loop_);
+    std::fprintf(stderr, "agent: raft log: %s; trying again until it is written\n", what.c_str());
+}
+
+void RaftStorage::noteSuccess() {
+    if (failingSince_ == 0) return;
+    ++counters_.recoveries;
+    std::fprintf(stderr, "agent: raft log: written again after %lld ms, %llu attempts failed so far\n",
+                 static_cast<long long>(failingFor().count()),
+                 static_cast<unsigned long long>(counters_.failures));
+    failingSince_ = 0;
+}
+
+// ----- messages -----
+
+int RaftStorage::send(raft_io_send* request, const raft_message* message, raft_io_send_cb done) {
+    const bool asksForVotes = message->type == RAFT_IO_REQUEST_VOTE;
+    // The answer to a leader that has been given up while its entries were being written.
+    const bool toNobody = message->server_address == nullptr;
+    const bool withheld = toNobody || ballotPending_ || (asksForVotes && failing());
+    if (!withheld) return transportSend_(&io_->guarded.io, request, message, done);
+    withheldSends_.push_back({request, done});  // to the core like a message that was lost
+    if (closing_) return 0;                     // then its end comes with all others
+    uv_timer_start(
+        &withheldTimer_,
+        [](uv_timer_t* timer) {
+            static_cast<RaftStorage*>(timer->data)->dropWithheldSends(RAFT_NOCONNECTION);
+        },
+        0, 0);
+    return 0;
+}
+
+void RaftStorage::dropWithheldSends(int status) {
+    for (const WithheldSend& send : std::exchange(withheldSends_, {})) send.done(send.request, status);
+}
+
+void RaftStorage::receive(raft_message* message) {
+    if (message->type == RAFT_IO_TIMEOUT_NOW && failing()) return;
+    if (message->type == RAFT_IO_APPEND_ENTRIES && full())
+        GuardedIo::dropEntries(message->append_entries, message->append_entries.n_entries);
+    receive_(&io_->guarded.io, message);
+}
+
+// ----- the end -----
+
+void RaftStorage::close(raft_io_close_cb done) {
+    closing_ = true;
+    closed_ = done;
+    for (uv_timer_t* timer : {&retryTimer_, &withheldTimer_})
+        uv_close(reinterpret_cast<uv_handle_t*>(timer), [](uv_handle_t* handle) {
+            auto& self = *static_cast<RaftStorage*>(handle->data);
+            --self.openTimers_;
+            self.closeTransportOnceIdle();
+        });
+}
+
+void RaftStorage::closeTransportOnceIdle() {
+    if (!closing_ || closed_ == nullptr || writing_ || snapshotReads_ > 0 || openTimers_ > 0) return;
+    // The last first: each takes its entries off the end of the core's log.
+    for (; !waiting_.empty(); waiting_.pop_back()) complete(waiting_.back(), RAFT_CANCELED);
+    for (; !inHand_.empty(); inHand_.pop_back()) complete(inHand_.back(), RAFT_CANCELED);
+    dropWithheldSends(RAFT_CANCELED);
+    transportClose_(&io_->guarded.io, std::exchange(closed_, nullptr));
+}
+
+}  // namespace lotuslead::agent
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -77,7 +77,9 @@
             response = ask(agent, method, target, body);
         }
         if (!response) continue;
-        last = std::move(*response);
+        // A refusal does not undo what an agent before may have begun.
+        const bool begun = last.body.rfind("unknown", 0) == 0 && response->status == 503;
+        if (!begun) last = std::move(*response);
         // Sent on twice: the leader has changed in between, and the next agent may know better.
         if (last.status < 500 && last.status != 307) break;
     }
