Count a purge as made when it is heard, and compare its date with copies' dates as told

Symptom: with a wall clock that was 5 s or an hour ahead at the start a PULL one second after a purge said fresh=6000 or fresh=3601001; any store copy up to that age would do, so purged ones. Cause: Decisions::purge took an age out of another machine's date and our offset of the start, without bounds. The look at an answer's 'minted' used the same offset, which hid it there. Change: a purge counts as made when it is heard, the latest that it can have been; an answer's date is compared with the purge's date itself. Same class elsewhere: at the repository front copies on disk carry our date, so a purge is entered there with the later of its date and ours. Ruled out on the way: bounding by the time since the bus was last asked; with a poll that had been out for 300 ms that said fresh=1308 after 1001 ms.

--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -116,27 +116,49 @@
     Purge purge;
     purge.object = event.purgedObject.empty() ? 0 : fingerprint(event.purgedObject);
     purge.group = event.purgedGroup;
-    const Micros made = Micros{std::chrono::milliseconds{event.purgedMs}} - unixAhead_;
-    purge.age = std::max(Micros{0}, now - made);
-    if (event.purgedObject.empty())
-        groupPurges_[event.purgedGroup] = now;
-    else
-        objectPurges_[event.purgedObject] = now;
+    HeardPurge& heard =
+        event.purgedObject.empty() ? groupPurges_[event.purgedGroup] : objectPurges_[event.purgedObject];
+    heard.heardAt = now;
+    heard.atMs = std::max(heard.atMs, event.purgedMs);
     forgetOldPurges(now);
     router_.handle(moduleTime(now), purge, actions_);
     collect(now);
 }
 
-// No send waits longer than its request may, so older purges are known to every pick that still counts.
+// No send waits longer than its request may, so older purges are known to every pick that still counts; and
+// the module has forgotten them.
 void Decisions::forgetOldPurges(Micros now) {
     constexpr std::chrono::minutes kLongEnough{2};
+    const Micros kept = kLongEnough + 2 * duration_cast<Micros>(words_.settings.purgeSettles);
     if (now - purgesSwept_ < kLongEnough) return;
     purgesSwept_ = now;
-    const auto old = [&](const auto& entry) { return now - entry.second > kLongEnough; };
+    const auto old = [&](const auto& entry) { return now - entry.second.heardAt > kept; };
     std::erase_if(objectPurges_, old);
     std::erase_if(groupPurges_, old);
 }
 
+std::optional<Decisions::HeardPurge> Decisions::lastPurgeOf(const Request& request) const {
+    const auto object = objectPurges_.find(request.object);
+    const auto group = groupPurges_.find(request.group);
+    if (object == objectPurges_.end() && group == groupPurges_.end()) return {};
+    if (object == objectPurges_.end()) return group->second;
+    if (group == groupPurges_.end()) return object->second;
+    return {{std::max(object->second.heardAt, group->second.heardAt),
+             std::max(object->second.atMs, group->second.atMs)}};
+}
+
+void Decisions::limitByPurge(Micros now, const Request& request, Verdict& send) const {
+    const auto purge = lastPurgeOf(request);
+    if (!purge) return;
+    constexpr Micros kRounding{1000};
+    send.purgedMs = purge->atMs;
+    send.oldestByPurge = send.oldest + kRounding >= now - purge->heardAt;
+}
+
+std::int64_t Decisions::unixMsOf(Micros when) const {
+    return duration_cast<std::chrono::milliseconds>(when + unixAhead_).count();
+}
+
 Verdict Decisions::pick(Micros now, const Request& request) {
     lotuslead::Request asked;
     asked.id = request.id;
@@ -192,10 +214,8 @@
 Micros Decisions::nextTick() const { return timers_.empty() ? Micros::max() : timers_.begin()->first; }
 
 bool Decisions::purgedSince(const Request& request, Micros when) const {
-    const auto object = objectPurges_.find(request.object);
-    if (object != objectPurges_.end() && object->second >= when) return true;
-    const auto group = groupPurges_.find(request.group);
-    return group != groupPurges_.end() && group->second >= when;
+    const auto purge = lastPurgeOf(request);
+    return purge && purge->heardAt >= when;
 }
 
 Decisions::ListedHost Decisions::hostOf(const std::string& name) const {
--- a/src/core/decisions.hpp
+++ b/src/core/decisions.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,6 +48,10 @@
     int keepRank = 0;
     int rank = 0;     // of a copy of the gateway's own; zero: none is kept
     Micros oldest{};  // zero: the class's fresh time
+    // Of the last purge of the object or its group that is remembered, by the clock that dates purges and
+    // copies: no copy made before may pass. Zero: none.
+    std::int64_t purgedMs = 0;
+    bool oldestByPurge = false;  // `oldest` comes from that purge
     bool join = false;
     bool heldOnly = false;
     bool renew = false;
@@ -82,6 +87,8 @@
 
     // `heardLive`: as it came about, and not from what was known at the start.
     void list(Micros now, const settings::BusEvent& event, bool heardLive);
+    // Counts as made when it is heard, the latest that it can have been: its date is another machine's, and
+    // our wall clock may have been wrong when the process started.
     void purge(Micros now, const settings::BusEvent& event);
 
     Verdict pick(Micros now, const Request& request);
@@ -90,6 +97,8 @@
     std::vector<Verdict> tick(Micros now);
     Micros nextTick() const;  // Micros::max(): nothing is due
 
+    // Fills in what a send has to know of purges.
+    void limitByPurge(Micros now, const Request& request, Verdict& send) const;
     // Whether a purge of the object or its group was told at or after this moment.
     bool purgedSince(const Request& request, Micros when) const;
     // What the list says of a host.
@@ -102,7 +111,17 @@
     };
     ListedHost hostOf(const std::string& name) const;
 
+    // The Unix date of a moment, by the wall clock as it was at the start.
+    std::int64_t unixMsOf(Micros when) const;
+
 private:
+    struct HeardPurge {
+        Micros heardAt{};
+        std::int64_t atMs = 0;  // as it was told
+    };
+
+    // Empty where none is remembered.
+    std::optional<HeardPurge> lastPurgeOf(const Request& request) const;
     Time moduleTime(Micros now) const { return now + kEpoch; }
     std::vector<Verdict> collect(Micros now);
     void forgetOldPurges(Micros now);
@@ -122,8 +141,8 @@
     std::multimap<Micros, TimerId> timers_;
     std::unordered_map<RequestId, int> attempts_;        // made so far, of requests without a final answer
     std::unordered_map<std::string, ListedHost> hosts_;  // those that are not gone
-    std::unordered_map<std::string, Micros> objectPurges_;
-    std::unordered_map<std::int64_t, Micros> groupPurges_;
+    std::unordered_map<std::string, HeardPurge> objectPurges_;
+    std::unordered_map<std::int64_t, HeardPurge> groupPurges_;
     Micros purgesSwept_{};
 };
 
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -185,6 +185,7 @@
     }
     job.sentTo = localityOf(send.host);
     job.send = std::move(send);
+    decisions_.limitByPurge(now, job.request, job.send);
     job.sentAt = now;
     job.out = true;
     // Never past the deadline: the final answer is owed by then.
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -178,10 +178,7 @@
     }
     void apply(const settings::BusEvent& event) {
         if (!event.isList) {
-            if (tier_ && event.purgedObject.empty())
-                tier_->purgeGroup(event.purgedGroup, event.purgedMs);
-            else if (tier_)
-                tier_->purgeObject(event.purgedObject, event.purgedMs);
+            if (tier_) purgeTier(event);
             return decisions_.purge(loop_.now(), event);
         }
         // First the decisions: attempts that end with a host's connections are then not sent to it again.
@@ -191,6 +188,16 @@
 
     // ----- the disk tier -----
 
+    // Copies that carry our own date are compared with our own date of the purge, if that is the later one.
+    void purgeTier(const settings::BusEvent& event) {
+        std::int64_t atMs = event.purgedMs;
+        if (before_.form().datedHere) atMs = std::max(atMs, decisions_.unixMsOf(loop_.now()));
+        if (event.purgedObject.empty())
+            tier_->purgeGroup(event.purgedGroup, atMs);
+        else
+            tier_->purgeObject(event.purgedObject, atMs);
+    }
+
     disk::Pacer pacer() const { return {baseOf(configuration_).flowBytes, baseOf(configuration_).linkBytes}; }
     void openTier() {
         const bool bus = !baseOf(configuration_).bus.empty();
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -310,7 +310,7 @@
                                    next.send.attempt,
                                    now,
                                    request.known,
-                                   owner_.leastMintedMs(next.send.oldest),
+                                   owner_.leastMintedMs(next.send),
                                    owner_.repeatable_.at(static_cast<std::size_t>(request.classIndex))};
             waiting_.pop_front();
         }
@@ -521,10 +521,15 @@
     }
 }
 
-std::int64_t Stores::leastMintedMs(Micros oldest) const {
-    constexpr Micros kAsTold = 50ms;  // the age is told in whole milliseconds, and clocks are read apart
-    if (oldest.count() <= 0) return 0;
-    return (loop_.now() + unixAhead_ - oldest - kAsTold).count() / 1000;
+// A purge and a copy carry dates of other machines, which are compared as they are. Only where an age is to
+// be judged our own wall clock comes in.
+std::int64_t Stores::leastMintedMs(const core::Verdict& send) const {
+    constexpr std::chrono::milliseconds kAsTold{
+        50};  // an age is told in whole milliseconds, clocks are read apart
+    const std::int64_t byPurge = send.purgedMs > 0 ? send.purgedMs - kAsTold.count() : 0;
+    if (send.oldest.count() <= 0 || send.oldestByPurge) return byPurge;
+    const std::int64_t byAge = (loop_.now() + unixAhead_ - send.oldest - kAsTold).count() / 1000;
+    return std::max(byPurge, byAge);
 }
 
 void Stores::answered(const std::string& host, Micros writtenAt) {
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -71,7 +71,7 @@
     void dropAll(Store& store);
     void dropBefore(Store& store, core::Micros restart);
 
-    std::int64_t leastMintedMs(core::Micros oldest) const;
+    std::int64_t leastMintedMs(const core::Verdict& send) const;
 
     net::Loop& loop_;
     core::Micros unixAhead_;
--- a/src/repository/service.cpp
+++ b/src/repository/service.cpp
@@ -32,7 +32,7 @@
 
 Service::Service(net::Loop& loop, Source source)
     : FrontService(loop, std::move(source), "repository front", core::Requests::PurgedMeanwhile::fetchAnew,
-                   {storable, versionOf, nullptr}) {}
+                   {storable, versionOf, nullptr, true}) {}
 
 void Service::printOwnCounters(const std::string& name) const {
     const auto& f = front_.counters();
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -4,8 +4,8 @@
 // The gateway reads once at its start how far the wall clock is from the monotonic one, and takes a purge's
 // age out of the date that another machine gave it. With a clock that is an hour ahead a purge of one second
 // ago was an hour old: the PULL said `fresh=3601001` where 1001 is the most, and any store copy of the last
-// hour would do. A purge that is heard live can't be older than the time since the bus was last asked; one of
-// the start counts as made at the start. The same clock judged `minted`: with a purge's age right and the
+// hour would do. A purge that is heard counts as made then, the latest that it can
+// have been, whatever the clocks say. The same clock judged `minted`: with a purge's age right and the
 // clock wrong, good copies passed for too old.
 #include "faults.hpp"
 #include "moments.hpp"
