Hear what has come before timers act in a turn that was held up, and all of it in one turn

Sockets come before timers and before answers in a turn, so only a turn that was begun before the stop can have done it: what it had heard was out of date when its timers ran. Change: in a turn that has taken over 50 ms timers, answers that wait for its end and time-outs are left for the next turn, never twice in a row; a turn takes all events that are ready, up to 4096, not the first 256.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -125,7 +125,8 @@
         // Only now: a successor that has just said that it serves has been heard.
         if (std::exchange(leaveAsked_, false)) leave();
         reload();
-        for (const auto& service : services_) service->turn(loop_.now());
+        if (!loop_.holdsTimers())
+            for (const auto& service : services_) service->turn(loop_.now());
         open();
         advance();
     }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -30,8 +30,7 @@
 Loop::HandlerId Loop::add(int fd, std::uint32_t events, Handler& handler, Priority priority) {
     const HandlerId id = nextId_++;
     if (!watch(id, fd, events)) unwatched_[id] = {fd, events};
-    handlers_[id] = &handler;
-    if (priority == Priority::first) first_.insert(id);
+    handlers_[id] = {&handler, priority};
     return id;
 }
 
@@ -55,7 +54,6 @@
 void Loop::remove(HandlerId id, int fd) {
     if (unwatched_.erase(id) == 0) ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
     handlers_.erase(id);
-    first_.erase(id);
     again_.erase(id);
 }
 
@@ -79,7 +77,7 @@
 void Loop::handle(HandlerId id, std::uint32_t what) {
     const auto found = handlers_.find(id);
     if (found == handlers_.end()) return;
-    const std::uint32_t left = found->second->ready(what);
+    const std::uint32_t left = found->second.handler->ready(what);
     if (left != 0 && handlers_.count(id) > 0) again_[id] |= left;
     runPosted();
 }
@@ -115,25 +113,52 @@
         // Rounded up: a turn that comes too early would only spin.
         wait = static_cast<int>(((until - now_).count() + 999) / 1000);
     }
-    Events events;
-    const int count = await(events, wait);
-    // Handlers are looked up one by one: an earlier one may have removed a later one.
-    std::unordered_map<HandlerId, std::uint32_t> due;
+    handleInOrder(collectDue(wait));
+    runTimers();
+    runPosted();
+    retired_.clear();
+}
+
+// All that is ready, so that the order holds among all of it and not only among the first.
+Loop::Due Loop::collectDue(int wait) {
+    Due due;
     due.swap(again_);
-    for (int i = 0; i < count; ++i)
-        due[events[static_cast<std::size_t>(i)].data.u64] |= events[static_cast<std::size_t>(i)].events;
-    const auto first = first_;
-    for (const HandlerId id : first)
-        if (const auto node = due.extract(id)) handle(id, node.mapped());
-    for (const auto& [id, what] : due) handle(id, what);
+    Events events;
+    const int most = static_cast<int>(events.size());
+    int count = await(events, wait);
+    for (int waits = 1;; ++waits) {
+        for (int i = 0; i < count; ++i)
+            due[events[static_cast<std::size_t>(i)].data.u64] |= events[static_cast<std::size_t>(i)].events;
+        if (count < most || waits == kMostWaitsATurn) return due;
+        count = ::epoll_wait(epoll_.get(), events.data(), most, 0);
+    }
+}
+
+// Handlers are looked up one by one: an earlier one may have removed a later one.
+void Loop::handleInOrder(const Due& due) {
+    std::array<std::vector<Due::value_type>, static_cast<std::size_t>(Priority::count_)> ordered;
+    for (const auto& event : due)
+        if (const auto found = handlers_.find(event.first); found != handlers_.end())
+            ordered[static_cast<std::size_t>(found->second.priority)].push_back(event);
+    for (const auto& events : ordered)
+        for (const auto& [id, what] : events) handle(id, what);
+}
+
+// A process that was stopped within a turn goes on with what it had heard before. Whoever has left or taken
+// back a call meanwhile is heard in the next turn, before a timer or an answer that waited for the end of
+// this one.
+void Loop::runTimers() {
+    const bool mayHold = !std::exchange(holdsTimers_, false);
     while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+        if (mayHold && stale()) {
+            holdsTimers_ = true;
+            return;
+        }
         const auto task = std::move(timers_.begin()->second);
         timers_.erase(timers_.begin());
         task();
         runPosted();
     }
-    runPosted();
-    retired_.clear();
 }
 
 }  // namespace lotuslead::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -11,7 +11,6 @@
 #include <memory>
 #include <numeric>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -29,8 +28,8 @@
     virtual std::uint32_t ready(std::uint32_t events) = 0;
 };
 
-// Whose events come first in a turn, before all others that are due.
-enum class Priority { usual, first };
+// The order in which the events of a turn are handled.
+enum class Priority : std::uint8_t { first, usual, count_ };
 
 class Loop {
 public:
@@ -50,6 +49,9 @@
     // The turn has taken so long that what it has heard may be out of date: what begins anything waits for
     // the next one.
     bool stale() const { return clock() - now_ > kStale; }
+    // Timers wait for the next turn, since this one is stale: what they decide goes by what clients and
+    // servers had said by now. Never in two turns in a row.
+    bool holdsTimers() const { return holdsTimers_; }
     HandlerId add(int fd, std::uint32_t events, Handler& handler, Priority priority = Priority::usual);
     void remove(HandlerId id, int fd);
     void again(HandlerId id, std::uint32_t events);  // in the next turn, without a new edge
@@ -71,12 +73,22 @@
         std::uint32_t events = 0;
     };
 
+    struct Registered {
+        Handler* handler = nullptr;
+        Priority priority = Priority::usual;
+    };
+
     using Events = std::array<epoll_event, 256>;
+    using Due = std::unordered_map<HandlerId, std::uint32_t>;
+    static constexpr int kMostWaitsATurn = 16;  // more events than that wait for the next turn
     static constexpr Micros kStale{50'000};
     static constexpr Micros kOfLate{250'000};
     static constexpr Micros kLong{20'000};
 
     int await(Events& events, int wait);
+    Due collectDue(int wait);
+    void handleInOrder(const Due& due);
+    void runTimers();
     bool watch(HandlerId id, int fd, std::uint32_t events);
     void watchTheUnwatched();
     void runPosted();
@@ -88,11 +100,11 @@
     std::array<Micros, 3> heldUp_{};
     Micros heldUpAt_{-kOfLate};  // for longer than kLong
     std::uint64_t nextId_ = 1;
-    std::unordered_map<HandlerId, Handler*> handlers_;
+    std::unordered_map<HandlerId, Registered> handlers_;
     std::map<HandlerId, Unwatched> unwatched_;  // those that the kernel had no memory for
-    std::unordered_set<HandlerId> first_;       // those of priority
-    std::unordered_map<HandlerId, std::uint32_t> again_;
+    Due again_;
     std::map<TimerKey, std::function<void()>> timers_;
+    bool holdsTimers_ = false;
     std::vector<std::function<void()>> posted_;
     std::vector<std::shared_ptr<void>> retired_;
 };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,7 +4,12 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <functional>
 #include <memory>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "net/listener.hpp"
 #include "net/loop.hpp"
@@ -95,5 +100,74 @@
     EXPECT_STREQ(words, "last words");
 }
 
+// Calls back with what comes in.
+class Listens : public Stream::User {
+public:
+    Listens(Loop& loop, std::function<void()> heard) : heard_(std::move(heard)) {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends.data()), 0);
+        peer_.reset(ends[0]);
+        stream_ = std::make_unique<Stream>(loop, Descriptor(ends[1]), *this);
+    }
+    void send() const { EXPECT_EQ(::send(peer_.get(), "x", 1, 0), 1); }
+
+private:
+    bool streamData(std::string_view) override {
+        heard_();
+        return true;
+    }
+    void streamEnded(Stream::End) override {}
+
+    std::function<void()> heard_;
+    Descriptor peer_;
+    std::unique_ptr<Stream> stream_;
+};
+
+constexpr auto kHeldUp = 80ms;  // longer than a turn may take
+
+// A process that is stopped within a turn: what comes meanwhile is heard before a timer of that turn acts.
+TEST(Loop, ATimerWaitsForWhatHasComeWhileItsTurnWasHeldUp) {
+    Loop loop;
+    std::string order;
+    Listens late(loop, [&] { order += "late "; });
+    Listens first(loop, [&] {
+        order += "first ";
+        loop.whenAllIsHeard([&] { order += "timer "; });
+        late.send();
+        std::this_thread::sleep_for(kHeldUp);
+    });
+    first.send();
+    for (int i = 0; i < 3; ++i) loop.turn(loop.now());
+    EXPECT_EQ(order, "first late timer ");
+}
+
+TEST(Loop, TimersRunThoughEveryTurnIsHeldUp) {
+    Loop loop;
+    int timers = 0;
+    std::unique_ptr<Listens> busy;
+    busy = std::make_unique<Listens>(loop, [&] {
+        loop.whenAllIsHeard([&] {
+            ++timers;
+            busy->send();
+        });
+        std::this_thread::sleep_for(kHeldUp);
+    });
+    busy->send();
+    for (int i = 0; i < 8; ++i) loop.turn(loop.now());
+    EXPECT_GE(timers, 2);
+}
+
+// Of more than one look at the kernel brings, too.
+TEST(Loop, AllThatIsReadyIsHeardInOneTurn) {
+    constexpr int kMany = 300;
+    Loop loop;
+    int heard = 0;
+    std::vector<std::unique_ptr<Listens>> all;
+    for (int i = 0; i < kMany; ++i) all.push_back(std::make_unique<Listens>(loop, [&] { ++heard; }));
+    for (const auto& one : all) one->send();
+    loop.turn(loop.now());
+    EXPECT_EQ(heard, kMany);
+}
+
 }  // namespace
 }  // namespace lotuslead::net
