Ask no server for a repository client that has left, and list a clock ahead at the first list

Cause: a request and its client's end that came together were taken in the order of the socket, and begun before the end was seen. Change: the repository front drops what stands before its client's end, as the platform's does (the end gave the request up already).

--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -79,6 +79,7 @@
           lastMoved_(connectedAt_),
           halfSince_(connectedAt_),
           stream_(owner.loop_, std::move(fd), *this) {
+        stream_.dropWithPeer();
         touch();
     }
     ~Client() override { abandon(); }
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -77,6 +77,27 @@
     assert(cold.count() <= kBudget);
 }
 
+// The same store in the list that the process starts with. Nothing else that it is told then contradicts the
+// clock.
+void aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList() {
+    Mark cold;
+    Fleet fleet;
+    const std::string body(kObjectBytes, 'b');
+    Peer warm(store(serving(body)));
+    Peer fresh(store([&](Connection& c, const std::vector<std::string>& words) {
+        cold.raise();
+        serving(body)(c, words);
+    }));
+    const json settings = slowStart(fleet.with({listed(host("cache-1", warm.address()), 0),
+                                                listed(host("cache-2", fresh.address()), unixMs())}),
+                                    20'000);
+    Program program(settings, "LB_CONFIG", 1024, faultVariables("realtime=3600"));
+    Connection client(program.port());
+    callForMany(client, 1);
+    std::fprintf(stderr, "%d calls at the cold store, %d allowed\n", cold.count(), kBudget);
+    assert(cold.count() <= kBudget);
+}
+
 // The only store started a minute ago. By a clock that is an hour behind that is in an hour.
 void aClockThatIsBehindDoesNotKeepAStoreCold() {
     Fleet fleet;
@@ -155,6 +176,7 @@
 int main(int count, char** words) {
     const Story stories[] = {
         {"ahead", aClockThatIsAheadDoesNotWarmAColdStore},
+        {"first-list-ahead", aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList},
         {"behind", aClockThatIsBehindDoesNotKeepAStoreCold},
         {"purge-heard", aPurgeThatIsHeardHolds},
         {"purge-before-start", aPurgeFromBeforeTheStartHolds},
--- a/tests/held_up_test.cpp
+++ b/tests/held_up_test.cpp
@@ -2,6 +2,7 @@
 // moved.
 #include "faults.hpp"
 #include "moments.hpp"
+#include "repository_server.hpp"
 
 namespace {
 
@@ -11,6 +12,8 @@
 constexpr int kPatienceMs = 2000;
 constexpr int kSlackMs = 150;
 constexpr int kWaiting = 20;  // more than are accepted in one turn
+constexpr int kCancelRounds = 20;
+constexpr auto kBothThere = 30ms;  // on loopback
 
 void callWithPatience(Connection& client, const std::string& tag, int patienceMs) {
     static int count = 0x2000000;
@@ -68,6 +71,58 @@
     assert(pulls == 2);
 }
 
+// The process stands still; a client takes its call back, and after that the store answers. When the process
+// goes on both are there, and the CANCEL came first.
+void anAnswerThatCameAfterTheCancelIsNotPassedOn() {
+    Mark pulled, may;
+    Fleet fleet;
+    Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+        pulled.raise();
+        may.await(pulled.count());
+        serving("bytes")(c, words);
+    }));
+    Program program(configuration(fleet.with({host("cache-1", cache.address())})));
+    int passedOn = 0;
+    for (int round = 1; round <= kCancelRounds; ++round) {
+        Connection client(program.port());
+        call(client, "1");
+        pulled.await(round);
+        program.stop();
+        client.sendResp({"CANCEL", "1"});
+        std::this_thread::sleep_for(kBothThere);
+        may.raise();
+        std::this_thread::sleep_for(kBothThere);
+        program.goOn();
+        client.sendResp({"CHECK", "2", ""});
+        passedOn += client.readResp().at(0) == "1" ? 1 : 0;
+    }
+    std::fprintf(stderr, "%d of %d answers passed on after their CANCEL\n", passedOn, kCancelRounds);
+    assert(passedOn == 0);
+}
+
+// At the repository front a request and its client's end are both there when the process goes on. Nobody
+// wants the answer: no server is asked. It used to be begun and given up in one turn, by when its first byte
+// was out.
+void aRepositoryClientThatHasLeftIsNotAskedFor() {
+    const std::string path = "/index/plugins.json";
+    Repository server(100'000);
+    Program program(repository(server, server), "LB_REPOSITORY");
+    Connection client(program.port());
+    assert(get(client, path).status == 200);
+    const int asked = server.requests(path);
+    program.stop();
+    for (int i = 0; i < kWaiting; ++i) {
+        Connection leaver(program.port());
+        ask(leaver, path);
+    }
+    std::this_thread::sleep_for(kStopped);
+    program.goOn();
+    for (int i = 0; i < kWaiting; ++i) assert(get(client, "/elsewhere").status == 404);
+    std::this_thread::sleep_for(kStopped);
+    std::fprintf(stderr, "%d of %d that had left were asked for\n", server.requests(path) - asked, kWaiting);
+    assert(server.requests(path) == asked);
+}
+
 // Connections that wait at the old address, with their calls, when SIGHUP moves it.
 void whatWaitsAtAMovedAddressIsAnswered() {
     Fleet fleet;
@@ -98,6 +153,8 @@
     const Story stories[] = {
         {"deadline", theDeadlineCountsFromWhenTheCallCame},
         {"cancel", aCallIsNotBegunBeforeItsCancelIsRead},
+        {"answer-with-cancel", anAnswerThatCameAfterTheCancelIsNotPassedOn},
+        {"repository-departed", aRepositoryClientThatHasLeftIsNotAskedFor},
         {"moved-address", whatWaitsAtAMovedAddressIsAnswered},
     };
     playStories(stories, count, words);
