--- a/src/agent/consensus.cpp
+++ b/src/agent/consensus.cpp
@@ -119,7 +119,7 @@
 
 void Consensus::propose(const std::string& command, Done done) {
     // Nobody could say when it would be durable here; a leader that can write is on its way.
-    if (host_->storage().failing() || host_->storage().full()) return done(Fate::refused, {});
+    if (!takesProposals()) return done(Fate::refused, {});
     auto proposal = std::make_unique<Proposal>();
     proposal->request.data = proposal.get();
     proposal->owner = this;
--- a/src/agent/consensus.hpp
+++ b/src/agent/consensus.hpp
@@ -55,6 +55,8 @@
     void barrier(std::function<void(bool)> done);
 
     bool leads();
+    // False: what is proposed now is refused, since this agent cannot write its log.
+    bool takesProposals() const { return !host_->storage().failing() && !host_->storage().full(); }
     std::uint64_t leader();  // 0: none is known
     std::uint64_t applied();
     // How long writes of this agent's log have failed; zero: they don't. Nothing is proposed meanwhile.
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -198,6 +198,8 @@
 }
 
 void Control::transact(const net::HttpHead& head, const std::string& body, const Reply& reply) {
+    if (!consensus_.leads()) return toLeader(head.target, reply);
+    if (!consensus_.takesProposals()) return reply(answerOf(Consensus::Fate::refused, {}));
     const json text = json::parse(body, nullptr, false);
     config::Command command;
     try {
@@ -278,6 +280,9 @@
                         const Reply& reply) {
     if (const std::size_t slash = rest.find('/'); slash != std::string::npos)
         return operate(rest.substr(0, slash), rest.substr(slash + 1), head, reply);
+    // Before the text is read, which takes long where it is large.
+    if (!consensus_.leads()) return toLeader(head.target, reply);
+    if (!consensus_.takesProposals()) return reply({503, "not agreed\n", {}});
     const std::string key = kInstances + rest;
     config::Command command;
     config::Change& change = command.transaction.changes.emplace_back();
@@ -307,7 +312,6 @@
         return reply({400, std::string(problem.what()) + "\n", {}});
     }
     command.transaction.atMs = unixMs();
-    if (!consensus_.leads()) return toLeader(head.target, reply);
     consensus_.propose(config::encode(command), [reply](Consensus::Fate fate, const config::Outcome&) {
         reply(fate == Consensus::Fate::applied   ? Answer{200, "agreed\n", {}}
               : fate == Consensus::Fate::refused ? Answer{503, "not agreed\n", {}}
