Judge no copy too old by a wall clock that may be ahead

Symptom, found by trying classes with a fresh time: with a clock an hour ahead at the start 0 of 10 calls served, 13 PULLs, though every copy was a second old and a minute allowed. Cause: an answer's 'minted' was compared with now by our offset of the start, less the age allowed. Change: CopyClock: the youngest copy seen bounds how far our clock may be ahead of the one that dates copies; purges stay as they were. Measured: clock_stories fresh-time fails before (0 of 10 with 3600 s) and passes after, 10 of 10 with 3600, 5, -3600 and 0 s.

--- /dev/null
+++ b/src/platform/copy_clock.hpp
@@ -0,0 +1,41 @@
+// Judges the dates of copies: too old for what a store was asked for or not.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "../core/decisions.hpp"
+
+namespace lotuslead::platform {
+
+// A purge and a copy carry dates of other machines, which are compared as they are. Only where an age is to
+// be judged our own wall clock comes in. It may have been ahead when the process started, by which every copy
+// would look too old: the youngest copy seen bounds that.
+class CopyClock {
+public:
+    // `unixAhead`: what our wall clock showed beyond the monotonic one at the start.
+    explicit CopyClock(core::Micros unixAhead) : unixAhead_(unixAhead) {}
+
+    void learn(core::Micros now, std::int64_t mintedMs) {
+        const core::Micros ahead = std::chrono::milliseconds{mintedMs} - now;
+        copiesAhead_ = std::max(ahead, copiesAhead_.value_or(ahead));
+    }
+    // A copy made before is too old; zero: none is.
+    std::int64_t leastMintedMs(core::Micros now, const core::Verdict& send) const {
+        const std::int64_t byPurge = send.purgedMs > 0 ? send.purgedMs - kAsTold.count() : 0;
+        if (send.oldest.count() <= 0 || send.oldestByPurge || !copiesAhead_) return byPurge;
+        const core::Micros least = now + std::min(unixAhead_, *copiesAhead_) - send.oldest - kAsTold;
+        return std::max(byPurge, least.count() / 1000);
+    }
+
+private:
+    // An age is told in whole milliseconds, and clocks are read apart.
+    static constexpr std::chrono::milliseconds kAsTold{50};
+
+    core::Micros unixAhead_;
+    std::optional<core::Micros> copiesAhead_;  // the clock that dates copies is ahead by that at least
+};
+
+}  // namespace lotuslead::platform
--- a/src/platform/stores.cpp
+++ b/src/platform/stores.cpp
@@ -248,6 +248,7 @@
         end.attempt = found->second.attempt;
         end.outcome = *outcome;
         end.note = noteOf(fields.text("remark"));
+        if (const auto minted = fields.whole("minted")) owner_.copyClock_.learn(owner_.loop_.now(), *minted);
         if (*outcome == Outcome::served &&
             fields.whole("minted").value_or(found->second.leastMintedMs) < found->second.leastMintedMs) {
             // Passed on, it would be an answer from before a purge. What is not to run twice did run.
@@ -310,7 +311,7 @@
                                    next.send.attempt,
                                    now,
                                    request.known,
-                                   owner_.leastMintedMs(next.send),
+                                   owner_.copyClock_.leastMintedMs(now, next.send),
                                    owner_.repeatable_.at(static_cast<std::size_t>(request.classIndex))};
             waiting_.pop_front();
         }
@@ -392,7 +393,7 @@
 };
 
 Stores::Stores(net::Loop& loop, const settings::Configuration& configuration)
-    : loop_(loop), unixAhead_(core::unixAhead()) {
+    : loop_(loop), unixAhead_(core::unixAhead()), copyClock_(unixAhead_) {
     reconfigure(configuration);
 }
 
@@ -521,17 +522,6 @@
     }
 }
 
-// A purge and a copy carry dates of other machines, which are compared as they are. Only where an age is to
-// be judged our own wall clock comes in.
-std::int64_t Stores::leastMintedMs(const core::Verdict& send) const {
-    constexpr std::chrono::milliseconds kAsTold{
-        50};  // an age is told in whole milliseconds, clocks are read apart
-    const std::int64_t byPurge = send.purgedMs > 0 ? send.purgedMs - kAsTold.count() : 0;
-    if (send.oldest.count() <= 0 || send.oldestByPurge) return byPurge;
-    const std::int64_t byAge = (loop_.now() + unixAhead_ - send.oldest - kAsTold).count() / 1000;
-    return std::max(byPurge, byAge);
-}
-
 void Stores::answered(const std::string& host, Micros writtenAt) {
     const auto found = stores_.find(host);
     if (found != stores_.end())
--- a/src/platform/stores.hpp
+++ b/src/platform/stores.hpp
@@ -12,6 +12,7 @@
 #include "../net/loop.hpp"
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
+#include "copy_clock.hpp"
 #include "silence.hpp"
 
 namespace lotuslead::platform {
@@ -71,10 +72,9 @@
     void dropAll(Store& store);
     void dropBefore(Store& store, core::Micros restart);
 
-    std::int64_t leastMintedMs(const core::Verdict& send) const;
-
     net::Loop& loop_;
     core::Micros unixAhead_;
+    CopyClock copyClock_;
     core::Micros connectTimeout_{}, idleClose_{};
     std::size_t streams_ = 0;
     core::Micros longAnswer_{};     // from an answer's first byte to its last, however steadily it comes
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -168,6 +168,35 @@
         assert(seen.served);
     }
 }
+// A class with a fresh time: copies are a second old, a minute is allowed. By a clock that is an hour ahead
+// they were an hour old, and passed for too old: 0 of 10 calls served. The youngest copy seen tells how far
+// that clock can be.
+void copiesAreServedWithAWrongClock() {
+    constexpr int kCallsEach = 10;
+    constexpr std::int64_t kMinute = 60'000'000'000;
+    constexpr std::int64_t kAgeMs = 1000;
+    for (const char* clockRule : {"realtime=3600", "realtime=5", "realtime=-3600", "realtime=0"}) {
+        Fleet fleet;
+        Peer cache(store([&](Connection& c, const std::vector<std::string>& words) {
+            c.sendResp({words[1], "ok",
+                        "tag=4be0c1927d55a6f3,minted=" + std::to_string(unixMs() - kAgeMs) + ",remark=local",
+                        "copy"});
+        }));
+        json settings = configuration(fleet.with({host("cache-1", cache.address())}));
+        settings["settings"]["extra"]["maxAge"] = {kMinute, kMinute, kMinute};
+        Program program(settings, "LB_CONFIG", 1024, faultVariables(clockRule));
+        Connection client(program.port());
+        int served = 0;
+        for (int i = 1; i <= kCallsEach; ++i) {
+            call(client, std::to_string(i));
+            const std::vector<std::string> answer = client.readResp();
+            served += answer.size() > 3 && answer[3] == "copy" ? 1 : 0;
+        }
+        std::fprintf(stderr, "%s: %d of %d served\n", clockRule, served, kCallsEach);
+        assert(served == kCallsEach);
+    }
+}
+
 void aPurgeThatIsHeardHolds() { purgesHoldWithAWrongClock(false); }
 void aPurgeFromBeforeTheStartHolds() { purgesHoldWithAWrongClock(true); }
 
@@ -178,6 +207,7 @@
         {"ahead", aClockThatIsAheadDoesNotWarmAColdStore},
         {"first-list-ahead", aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList},
         {"behind", aClockThatIsBehindDoesNotKeepAStoreCold},
+        {"fresh-time", copiesAreServedWithAWrongClock},
         {"purge-heard", aPurgeThatIsHeardHolds},
         {"purge-before-start", aPurgeFromBeforeTheStartHolds},
     };
