review: case 3, requests of bad clients take more memory than the gateway may have

Cause: the front reads up to 256 KB a turn from each client before it looks for room, and the limit on held bytes is asked only when a call is admitted.

Change: a case under review/ with its claim; nothing outside is touched.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../build/lotuslead ] || { echo "build the program first"; exit 2; }
+exec python3 case.py
