review: an address for each run, so that cases can run side by side

Cause: two runs at once could pick the same free port; one of five then could not run.

Change: stand-ins and gateways listen on a loopback address made from the process id.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,8 +31,8 @@
         endpoint(hub, "north", "parent"), endpoint(vault, "north", "origin")]}})
     port = free_port()
     gateway = Gateway(folder, "n1", port, {
-        "name": "n1", "listen": "127.0.0.1:%d" % port, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bus": "127.0.0.1:%d" % bus.port,
+        "name": "n1", "listen": "%s:%d" % (HOST, port), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bus": "%s:%d" % (HOST, bus.port),
         "known": bus.known(), "settings": settings()})
     await gateway.start()
     try:
@@ -42,7 +42,7 @@
 
         async def client():
             while not done:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                reader, writer = await asyncio.open_connection(HOST, port)
                 tag = 0
                 while not done:
                     tag += 1
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,8 +33,8 @@
     record("stores:", len(everybody))
     port = free_port()
     gateway = Gateway(folder, "n1", port, {
-        "name": "n1", "listen": "127.0.0.1:%d" % port, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bus": "127.0.0.1:%d" % bus.port,
+        "name": "n1", "listen": "%s:%d" % (HOST, port), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bus": "%s:%d" % (HOST, bus.port),
         "known": bus.known(), "settings": settings(
             zones=zones, balancers=OFFICES, extra__hubOf=[0, 1] + [i % 2 for i in range(OFFICES)],
             extra__instancesByZone=[0, 0] + [1] * OFFICES, extra__inletKbPerS=[0, 0] + [45588.0] * OFFICES)})
@@ -50,7 +50,7 @@
             """Asks for pages, 10 a second on one connection; connects again if the gateway ends it."""
             tag = 0
             while time.monotonic() < until:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                reader, writer = await asyncio.open_connection(HOST, port)
                 open_calls, ended = {}, asyncio.Event()
 
                 async def answers():
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,8 +26,8 @@
         endpoint(hub, "north", "parent"), endpoint(vault, "north", "origin")]}})
     port = free_port()
     gateway = Gateway(folder, "n1", port, {
-        "name": "n1", "listen": "127.0.0.1:%d" % port, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "bus": "127.0.0.1:%d" % bus.port,
+        "name": "n1", "listen": "%s:%d" % (HOST, port), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "bus": "%s:%d" % (HOST, bus.port),
         "known": bus.known(), "settings": settings()})
     await gateway.start()
     try:
@@ -49,7 +49,7 @@
                 await asyncio.sleep(0.005)
 
         async def usual(number):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(HOST, port)
             tag = 0
             while not done:
                 tag += 1
@@ -65,7 +65,7 @@
                 await asyncio.sleep(0.1)
 
         async def bad(number):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(HOST, port)
             writer.write(b"".join(resp("CALL", str(i + 1), "page", call_fields(1500, "%016x" % (i % 40 + 1)),
                                        b"x" * BODY) for i in range(AT_ONCE)))
             got = {}
--- a/review/standins.py
+++ b/review/standins.py
@@ -16,10 +16,12 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# An address of this process's own, so that cases can run side by side.
+HOST = "127.%d.%d.%d" % (100 + (os.getpid() >> 14) % 100, (os.getpid() >> 7) % 128, 1 + os.getpid() % 126)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(host="127.0.0.1"):
+def free_port(host=HOST):
     with socket.socket() as probe:
         probe.bind((host, 0))
         return probe.getsockname()[1]
@@ -75,7 +77,7 @@
         self.log_pulls = True
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, HOST, self.port)
 
     async def serve(self, reader, writer):
         try:
@@ -113,7 +115,7 @@
         self.changed, self.writers = asyncio.Event(), set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, HOST, self.port)
 
     def tell(self, event):
         self.events.append({"offset": len(self.events) + 1, **event})
@@ -151,7 +153,7 @@
 
 
 def endpoint(store, zone, kind, status="up", since=0):
-    return {"name": store.name, "address": "127.0.0.1:%d" % store.port, "zone": zone, "type": kind, "group": 0,
+    return {"name": store.name, "address": "%s:%d" % (HOST, store.port), "zone": zone, "type": kind, "group": 0,
             "status": status, "weight": 1, "since_ms": since}
 
 
@@ -216,7 +218,7 @@
         meeting = os.path.join(self.folder, self.name + ".tmp")
         os.makedirs(meeting, exist_ok=True)
         environment = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
-        environment.update(LB_NAME=self.name, LB_LISTEN="127.0.0.1:%d" % self.port, LB_CONFIG=self.file,
+        environment.update(LB_NAME=self.name, LB_LISTEN="%s:%d" % (HOST, self.port), LB_CONFIG=self.file,
                            TMPDIR=meeting)
         with open(self.log, "a") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -229,7 +231,7 @@
             if self.process.returncode is not None:
                 return False
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(resp("CHECK", "1"))
                 answer = await asyncio.wait_for(read_resp(reader), 1)
                 writer.close()
@@ -253,8 +255,8 @@
 async def http(port, method, path, timeout=1.0):
     """Status and body of one HTTP call; None where no whole answer came in time."""
     async def call():
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(("%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\n\r\n" % (method, path)).encode())
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n" % (method, path, HOST)).encode())
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         size = int(re.search(r"(?i)content-length: *(\d+)", head)[1])
         body = await reader.readexactly(size)
