--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,11 +46,12 @@
                 tag = 0
                 while not done:
                     tag += 1
+                    record("call", tag, "page")
                     writer.write(resp("CALL", str(tag), "page", call_fields(1500, "%016x" % (tag % 40 + 1)), b""))
                     answer = await read_resp(reader)
                     if answer is None:
                         break
-                    record("answer", answer[1].decode())
+                    record("answer", answer[0].decode(), answer[1].decode())
                     words[answer[1]] = words.get(answer[1], 0) + 1
                     await asyncio.sleep(0.05)
                 writer.close()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,6 @@
     boxes = [Store("s-%08x" % i, record) for i in range(8)]
     hub, vault, bus = Store("s-000000f0", record), Store("s-000000f1", record), Bus(record)
     for one in (*boxes, hub, vault, bus):
-        one.log_pulls = False
         await one.start()
     bus.tell({"topology": {"index": 1, "snapshot": True, "endpoints": [
         endpoint(one, "edge-1", "small") for one in boxes] + [
@@ -53,6 +52,7 @@
             tag = 0
             while not done:
                 tag += 1
+                record("usual client", number, "call", tag, "page")
                 try:
                     writer.write(resp("CALL", str(tag), "page", call_fields(1500, "%016x" % (tag % 40 + 1)), b""))
                     answer = await asyncio.wait_for(read_resp(reader), 3)
@@ -61,11 +61,13 @@
                 if answer is None:
                     lost.append((number, tag))
                     return record("usual client", number, "call", tag, "was not answered")
+                record("usual client", number, "answer", tag, answer[1].decode())
                 words[answer[1]] = words.get(answer[1], 0) + 1
                 await asyncio.sleep(0.1)
 
         async def bad(number):
             reader, writer = await asyncio.open_connection(HOST, port)
+            record("bad client", number, "sends", AT_ONCE, "calls at once")
             writer.write(b"".join(resp("CALL", str(i + 1), "page", call_fields(1500, "%016x" % (i % 40 + 1)),
                                        b"x" * BODY) for i in range(AT_ONCE)))
             got = {}
