--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,7 +31,8 @@
     """A hub cache that holds nothing yet; its link is divided among its transfers."""
 
     def __init__(self, name, record, started):
-        self.name, self.record, self.started, self.port = name, record, started, free_port()
+        self.name, self.record, self.started = name, record, started
+        self.socket, self.port = bound_socket()  # nobody answers there: only boxes ask a hub cache
         self.transfers, self.fills = {}, []
 
     async def run(self):
--- a/review/standins.py
+++ b/review/standins.py
@@ -21,10 +21,21 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(host=HOST):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def bound_socket():
+    """A socket at a free port, which stays taken for as long as the socket is held."""
+    taken = socket.socket()
+    taken.bind((HOST, 0))
+    return taken, taken.getsockname()[1]
+
+
+def free_port(issued=set()):
+    """A free port for a program that binds it by itself; never the same one twice."""
+    while True:
+        taken, port = bound_socket()
+        taken.close()
+        if port not in issued:
+            issued.add(port)
+            return port
 
 
 def resp(*words):
@@ -72,12 +83,12 @@
 
     def __init__(self, name, record, delay=0.01, size=2000):
         self.name, self.record, self.delay, self.size = name, record, delay, size
-        self.port = free_port()
+        self.socket, self.port = bound_socket()
         self.pulls = []
         self.log_pulls = True
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, HOST, self.port)
+        self.server = await asyncio.start_server(self.serve, sock=self.socket)
 
     async def serve(self, reader, writer):
         try:
@@ -111,11 +122,12 @@
     """The event bus: numbered events, read by long polls."""
 
     def __init__(self, record):
-        self.record, self.port, self.events = record, free_port(), []
+        self.record, self.events = record, []
+        self.socket, self.port = bound_socket()
         self.changed, self.writers = asyncio.Event(), set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, HOST, self.port)
+        self.server = await asyncio.start_server(self.serve, sock=self.socket)
 
     def tell(self, event):
         self.events.append({"offset": len(self.events) + 1, **event})
@@ -296,6 +308,6 @@
         import traceback
         traceback.print_exc()
     record("exit code", code)
-    print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code], flush=True)
     shutil.rmtree(temporary, ignore_errors=True)
+    print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code], flush=True)
     os._exit(code)  # without the event loop's complaints about open connections
