Judge starts of hosts by the dates of their list alone, not by our wall clock

Change: ListClock compares dates of a list with each other only. Each start counts as of the latest time at which it can have been: of the first list the newest host has started now, the others earlier by the difference of the dates. Live: the quickest report of the last minutes bounds the others; a start long past that is told as news shows a step back. A predecessor hands over the starts that it heard of. Why it works: no clock of ours is in the sum any more. Evidence used: the dates of the list, the predecessor's starts. Assumed: one clock dates a list and isn't stepped between the starts that are compared. Not used: ts of purges, minted, our wall clock.

--- a/src/core/decision_facade.cpp
+++ b/src/core/decision_facade.cpp
@@ -11,6 +11,21 @@
 
 namespace {
 
+// The longest that the start of a host may take to be reported.
+constexpr std::chrono::minutes kMaxReportDelay{1};
+
+HostEntry entryOf(const std::string& name, const DecisionFacade::ListedHost& host) {
+    HostEntry entry;
+    entry.name = name;
+    entry.role = host.role;
+    entry.zone = host.zone;
+    entry.cell = host.cell;
+    entry.weight = host.weight;
+    entry.startedAt = host.startedAt;
+    entry.readiness = host.readiness;
+    return entry;
+}
+
 // Whatever the settings allow, a request of this gateway has at most one attempt in flight.
 settings::DecodedSettings withoutHedging(settings::DecodedSettings decodedSettings) {
     decodedSettings.settings.mayHedge = false;
@@ -54,9 +69,12 @@
         work[decodedSettings_.classNames[i]] = known.meanSendSeconds[i];
     for (const auto& [name, object] : known.objects)
         objects.push_back({name, object.lastPart, object.manyViewers, object.sendSeconds});
-    for (const NamedLearnedHost& h : known.hosts)
-        hosts[h.name] = {h.failureShare,         h.ejected,       h.ejectedUntil.count(),
-                         h.ejectionTime.count(), h.linkTransfers, h.coldSendSeconds};
+    for (const NamedLearnedHost& h : known.hosts) {
+        const ListedHost listed = findHost(h.name);
+        hosts[h.name] = {
+            h.failureShare,  h.ejected,         h.ejectedUntil.count(), h.ejectionTime.count(),
+            h.linkTransfers, h.coldSendSeconds, listed.sinceMs,         listed.startedAt.count()};
+    }
     return {{"startedAt", known.startedAt.count()}, {"work", work}, {"objects", objects}, {"hosts", hosts}};
 }
 
@@ -72,24 +90,39 @@
     for (const auto& [name, h] : known.at("hosts").items())
         learnedState.hosts.push_back(
             {{h.at(0), h.at(1).get<bool>(), time(h.at(2)), time(h.at(3)), h.at(4)}, name, h.at(5)});
+    // A predecessor heard of these starts earlier, by the same monotonic clock.
+    const auto& hosts = known.at("hosts");
+    applyEarlierStarts(now, [&](const std::string& name, const ListedHost& host) {
+        const auto entry = hosts.find(name);
+        if (entry == hosts.end() || entry->size() < 8 || entry->at(6) != host.sinceMs) return host.startedAt;
+        return std::max(Time{1}, time(entry->at(7)));
+    });
     router_.restore(routerTime(now), learnedState);
 }
 
-// The clock that dates the list and ours may be far apart: the offset is read once, at the start, and the
-// wall clock may have been stepped. Impossible starts are rejected: one in the future, and one long past that
-// has only now been reported. Either counts as a start at this moment, which leads to the stricter slow
-// start.
+// A host that is reported live has started only now. Dates of before that say otherwise are from before a
+// step of the list's clock, and prove nothing any more.
+void DecisionFacade::observeStartDates(Micros now, const settings::BusEvent& event, bool receivedLive) {
+    std::int64_t newest = 0;
+    for (const settings::ListedStore& store : event.stores)
+        if (store.startedAtMs != findHost(store.name).sinceMs) newest = std::max(newest, store.startedAtMs);
+    if (newest <= 0) return;
+    if (receivedLive && listClock_.latestTimeOf(newest) < now - kMaxReportDelay) listClock_.forget();
+    listClock_.observe(now, newest);
+}
+
+// Starts are taken to be as late as they can have been, which leads to the stricter slow start.
 Time DecisionFacade::hostStartTime(Micros now, const settings::ListedStore& store, const ListedHost& before,
                                    bool receivedLive) const {
-    constexpr std::chrono::minutes kMaxReportDelay{1};
     if (store.startedAtMs <= 0) return Time{0};
     if (store.startedAtMs == before.sinceMs) return before.startedAt;
-    const Micros reported = std::chrono::milliseconds{store.startedAtMs} - unixClockOffset_;
-    const bool impossible = reported > now || (receivedLive && reported < now - kMaxReportDelay);
-    return std::max(Time{1}, routerTime(impossible ? now : reported));
+    const Micros latest = listClock_.latestTimeOf(store.startedAtMs);
+    const bool reportedTooLate = receivedLive && latest < now - kMaxReportDelay;
+    return std::max(Time{1}, routerTime(reportedTooLate ? now : latest));
 }
 
 void DecisionFacade::applyHostList(Micros now, const settings::BusEvent& event, bool receivedLive) {
+    observeStartDates(now, event, receivedLive);
     HostList list;
     list.whole = event.isSnapshot;
     // A complete list names every host that stays; all others are gone.
@@ -97,24 +130,43 @@
     if (event.isSnapshot) replaced.swap(hosts_);
     const auto& before = event.isSnapshot ? replaced : hosts_;
     for (const settings::ListedStore& store : event.stores) {
-        HostEntry entry;
-        entry.name = store.name;
-        entry.role = decodedSettings_.roleOf(store.type);
-        entry.zone = decodedSettings_.zoneOf(store.zone);
-        entry.cell = store.cell;
-        entry.weight = store.weight;
-        entry.readiness = store.readiness;
         const auto known = before.find(store.name);
-        entry.startedAt =
+        ListedHost host;
+        host.readiness = store.readiness;
+        host.zone = decodedSettings_.zoneOf(store.zone);
+        host.cell = store.cell;
+        host.sinceMs = store.startedAtMs;
+        host.startedAt =
             hostStartTime(now, store, known == before.end() ? ListedHost{} : known->second, receivedLive);
+        host.role = decodedSettings_.roleOf(store.type);
+        host.weight = store.weight;
+        list.entries.push_back(entryOf(store.name, host));
         // No state is kept for hosts that are gone, or the table would grow without bound.
         if (store.readiness == Readiness::gone)
             hosts_.erase(store.name);
         else
-            hosts_[store.name] = {store.readiness, entry.zone, entry.cell, store.startedAtMs,
-                                  entry.startedAt};
-        list.entries.push_back(std::move(entry));
+            hosts_[store.name] = host;
+    }
+    router_.handle(routerTime(now), list, actions_);
+    convertActions(now);
+}
+
+void DecisionFacade::initialListsComplete(Micros now) {
+    applyEarlierStarts(now, [this](const std::string&, const ListedHost& host) {
+        return std::max(Time{1}, routerTime(listClock_.latestTimeOf(host.sinceMs)));
+    });
+}
+
+void DecisionFacade::applyEarlierStarts(Micros now, const StartOf& startOf) {
+    HostList list;
+    for (auto& [name, host] : hosts_) {
+        if (host.sinceMs <= 0) continue;
+        const Time start = startOf(name, host);
+        if (start >= host.startedAt) continue;
+        host.startedAt = start;
+        list.entries.push_back(entryOf(name, host));
     }
+    if (list.entries.empty()) return;
     router_.handle(routerTime(now), list, actions_);
     convertActions(now);
 }
--- a/src/core/decision_facade.hpp
+++ b/src/core/decision_facade.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "../settings/settings.hpp"
+#include "list_clock.hpp"
 #include "lotuslead/router.hpp"
 
 namespace lotuslead::core {
@@ -94,6 +96,9 @@
     // `receivedLive`: the event has just occurred, as opposed to being read from the state known at the
     // start.
     void applyHostList(Micros now, const settings::BusEvent& event, bool receivedLive);
+    // The state known at the start has been read: its hosts are compared by their dates once more, now that
+    // all dates are known.
+    void initialListsComplete(Micros now);
     // A purge counts as made when it is received, which is the latest possible time: its date comes from
     // another machine, and our wall clock may have been wrong when the process started.
     void applyPurge(Micros now, const settings::BusEvent& event);
@@ -113,8 +118,10 @@
         Readiness readiness = Readiness::gone;
         int zone = 0;
         std::int64_t cell = 0;
-        std::int64_t sinceMs = 0;  // start time, by the list's clock
-        Time startedAt{};          // start time, by our clock
+        std::int64_t sinceMs = 0;  // start time, by the list's clock; zero: long ago
+        Time startedAt{};          // the latest possible start, by the router's clock
+        Role role = Role::cache;
+        double weight = 1;
     };
     ListedHost findHost(const std::string& name) const;
 
@@ -133,8 +140,12 @@
     std::vector<Decision> convertActions(Micros now);
     void forgetOldPurges(Micros now);
     Settings settingsForAllProcesses() const;
+    void observeStartDates(Micros now, const settings::BusEvent& event, bool receivedLive);
     Time hostStartTime(Micros now, const settings::ListedStore& store, const ListedHost& before,
                        bool receivedLive) const;
+    // Has the router use an earlier start of these hosts, where that is what is found for them.
+    using StartOf = std::function<Time(const std::string& name, const ListedHost& host)>;
+    void applyEarlierStarts(Micros now, const StartOf& startOf);
 
     // Offset of the router's clock from zero, so that a host that started before this machine booted still
     // has a time above zero (zero stands for "long ago").
@@ -148,6 +159,7 @@
     std::multimap<Micros, TimerId> timers_;
     std::unordered_map<RequestId, int> attempts_;  // attempts so far, of requests without a final answer
     std::unordered_map<std::string, ListedHost> hosts_;  // hosts that are not gone
+    ListClock listClock_;
     std::unordered_map<std::string, ReceivedPurge> objectPurges_;
     std::unordered_map<std::int64_t, ReceivedPurge> groupPurges_;
     Micros lastPurgeSweep_{};
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -64,6 +64,7 @@
         const settings::Configuration& base = baseConfiguration(configuration_);
         front_.open();
         isOpen_ = true;
+        decisions_.initialListsComplete(loop_.now());
         std::fprintf(stderr, "%s: %s on %s:%u\n", base.name.c_str(), listenLabel_, base.listen.host.c_str(),
                      front_.port());
     }
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -78,8 +78,8 @@
     assert(cold.count() <= kSlowStartBudget);
 }
 
-// The same store in the list that the process starts with. No later event contradicts the clock.
-void aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList() {
+// Calls at a store that has just started and that the first list names, with our clock off by this rule.
+int callsAtAColdStoreOfTheFirstList(const std::string& clockRule) {
     EventCounter cold;
     Fleet fleet;
     const std::string body(kObjectBytes, 'b');
@@ -92,11 +92,25 @@
         slowStartConfiguration(fleet.with({listedSince(host("cache-1", warm.address()), 0),
                                            listedSince(host("cache-2", fresh.address()), unixMs())}),
                                20'000);
-    Program program(settings, "LB_CONFIG", 1024, faultVariables("realtime=3600"));
+    Program program(settings, "LB_CONFIG", 1024, faultVariables(clockRule));
     Connection client(program.port());
     callManyObjects(client, 1);
-    std::fprintf(stderr, "%d calls at the cold store, %d allowed\n", cold.count(), kSlowStartBudget);
-    assert(cold.count() <= kSlowStartBudget);
+    std::fprintf(stderr, "%s: %d calls at the cold store, %d allowed\n", clockRule.c_str(), cold.count(),
+                 kSlowStartBudget);
+    return cold.count();
+}
+
+// The same store in the list that the process starts with. No later event contradicts the clock.
+void aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList() {
+    assert(callsAtAColdStoreOfTheFirstList("realtime=3600") <= kSlowStartBudget);
+}
+
+// A clock that is off by seconds, which no bound on the delay of a report can tell from a late report.
+void aClockThatIsOffBySecondsDoesNotWarmAColdStoreOfTheFirstList() {
+    for (const char* clockRule : {"realtime=8", "realtime=-8"}) {
+        const int calls = callsAtAColdStoreOfTheFirstList(clockRule);
+        assert(calls > 0 && calls <= kSlowStartBudget);
+    }
 }
 
 // The only store started a minute ago. By a clock one hour behind, that is an hour in the future.
@@ -207,6 +221,7 @@
     const Scenario scenarios[] = {
         {"ahead", aClockThatIsAheadDoesNotWarmAColdStore},
         {"first-list-ahead", aClockThatIsAheadDoesNotWarmAColdStoreOfTheFirstList},
+        {"first-list-seconds", aClockThatIsOffBySecondsDoesNotWarmAColdStoreOfTheFirstList},
         {"behind", aClockThatIsBehindDoesNotKeepAStoreCold},
         {"fresh-time", copiesAreServedWithAWrongClock},
         {"purge-heard", aReceivedPurgeApplies},
