Bound the input of all clients together, and count open calls and their bodies

Cause: up to 256 KB of input was read from each client before anything was asked, and heldBytes_ was asked at admission only. Open calls, their bodies and spare capacity of buffers were not counted at all. Change: ClientMemory counts input, open calls and unread answers; each client may hold a part of what is free (dynamic threshold) and is guaranteed a little; the rest waits in the kernel. InputQueue lets a few at a time complete half messages. Stream tells how long input has waited there: it counts against patience, and a call with input of over 90 ms behind it is refused, since its CANCEL may be there. A retired connection is read to its end. After a burst the allocator gives memory back. Why it works: no byte is read that has no room, and what is not read costs nothing.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -16,8 +16,8 @@
         "host_not_ready", "source_not_ready", "purged_since_pick",  "runs_twice",
         "window_passed",  "other_group",      "promises_no_effect", "not_named",
         "ending",         "draining",         "connection_retired", "too_many_open",
-        "no_memory",      "request_open",     "unread_bytes",       "unsent_answer",
-        "not_prepared"};
+        "no_memory",      "cancel_unread",    "request_open",       "unread_bytes",
+        "unsent_answer",  "not_prepared"};
     return names[static_cast<std::size_t>(denial)];
 }
 
@@ -61,6 +61,7 @@
     if (facts.draining) return Denial::draining;
     if (facts.connectionClosing) return Denial::connectionClosing;
     if (facts.openOnConnection >= facts.maxOnConnection) return Denial::tooManyOpen;
+    if (facts.mayHaveCancelled) return Denial::cancelUnread;
     return facts.hasRoom ? Denial::none : Denial::noMemory;
 }
 
--- a/src/core/rules.hpp
+++ b/src/core/rules.hpp
@@ -33,6 +33,7 @@
     connectionClosing,          // further input on this connection is unreadable or useless
     tooManyOpen,                // on one connection
     noMemory,                   // for the answer
+    cancelUnread,               // input that may hold a cancellation has waited unread for too long
     requestOpen,                // an answer is owed on the connection
     unreadBytes,                // another request may have arrived
     unsentAnswer,               // closing could discard the answer
@@ -81,6 +82,7 @@
     bool shuttingDown = false, draining = false;
     bool connectionClosing = false;
     std::size_t openOnConnection = 0, maxOnConnection = 0;
+    bool mayHaveCancelled = false;  // in input that has waited unread for too long
     bool hasRoom = true;
 };
 Denial mayAdmit(const AdmissionFacts& facts);
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kLongestHeader = 24;
+constexpr std::size_t kLineEndBytes = 2;
 
 void appendBulkHead(std::string& out, std::size_t size) {
     out += '$';
@@ -21,14 +22,15 @@
 RespParser::Status RespParser::feed(std::string_view& data) {
     while (!data.empty()) {
         if (state_ == State::bytes) {
-            const std::size_t body = remainingBytes_ > 2 ? std::min(remainingBytes_ - 2, data.size()) : 0;
+            const std::size_t body =
+                remainingBytes_ > kLineEndBytes ? std::min(remainingBytes_ - kLineEndBytes, data.size()) : 0;
             if (body > 0) {
-                elements_.back().append(data.substr(0, body));
+                appendToString(data.substr(0, body));
                 data.remove_prefix(body);
                 remainingBytes_ -= body;
                 continue;
             }
-            if (data.front() != (remainingBytes_ == 2 ? '\r' : '\n')) return Status::malformed;
+            if (data.front() != (remainingBytes_ == kLineEndBytes ? '\r' : '\n')) return Status::malformed;
             data.remove_prefix(1);
             if (--remainingBytes_ > 0) continue;
             if (elements_.size() == expectedElements_) {
@@ -50,6 +52,15 @@
     return Status::needMore;
 }
 
+// Memory is taken as the bytes come: many peers may announce long strings and send little of them.
+void RespParser::appendToString(std::string_view bytes) {
+    std::string& string = elements_.back();
+    const std::size_t whole = string.size() + remainingBytes_ - kLineEndBytes;
+    const std::size_t needed = string.size() + bytes.size();
+    if (needed > string.capacity()) string.reserve(std::min(whole, std::max(needed, 2 * string.size())));
+    string.append(bytes);
+}
+
 RespParser::Status RespParser::parseHeader() {
     const std::string line = std::exchange(line_, {});
     std::size_t number = 0;
@@ -69,15 +80,23 @@
     if (line[0] != '$' || number > limits_.maxStringBytes || arrayBytes_ > limits_.maxArrayBytes)
         return Status::malformed;
     elements_.emplace_back();
-    elements_.back().reserve(number);
-    remainingBytes_ = number + 2;
+    remainingBytes_ = number + kLineEndBytes;
     state_ = State::bytes;
     return Status::needMore;
 }
 
+std::size_t RespParser::bufferedBytes() const {
+    std::size_t bytes = 0;
+    for (const std::string& element : elements_) bytes += element.capacity();
+    return bytes;
+}
+
 std::vector<std::string> RespParser::takeMessage() { return std::exchange(elements_, {}); }
 
 void appendResp(std::string& out, std::initializer_list<std::string_view> elements) {
+    std::size_t bytes = out.size() + kLongestHeader;
+    for (const std::string_view element : elements) bytes += element.size() + kLongestHeader;
+    out.reserve(bytes);
     out += '*';
     out += std::to_string(elements.size());
     out += "\r\n";
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -24,14 +24,16 @@
     // returns it.
     Status feed(std::string_view& data);
     std::vector<std::string> takeMessage();
-    // Memory that the incomplete message may occupy, by its announced string lengths.
-    std::size_t bufferedBytes() const { return state_ == State::start ? 0 : arrayBytes_; }
+    std::size_t bufferedBytes() const;  // memory of the incomplete message's strings
+    // Bytes that the current string still lacks, as announced; zero between two strings.
+    std::size_t missingBytes() const { return state_ == State::bytes ? remainingBytes_ : 0; }
     bool midMessage() const { return state_ != State::start || !line_.empty(); }
 
 private:
     enum class State { start, length, bytes };
 
     Status parseHeader();
+    void appendToString(std::string_view bytes);
 
     Limits limits_;
     State state_ = State::start;
@@ -39,7 +41,7 @@
     std::vector<std::string> elements_;
     std::size_t expectedElements_ = 0;
     std::size_t remainingBytes_ = 0;  // of the current string, including its line end
-    std::size_t arrayBytes_ = 0;
+    std::size_t arrayBytes_ = 0;      // of all strings so far, as announced
 };
 
 // Appends an array of bulk strings to `out`.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -28,9 +28,10 @@
 constexpr Micros kShortageRetryDelay = 2ms;  // of memory or descriptors
 constexpr int kMaxConnectAttempts = 6;       // with increasing delays, 30 ms in all
 constexpr std::size_t kMaxBytesPerTurn =
-    4 * kReadChunkBytes;                      // bounds the time that one stream takes from the others
-constexpr int kMaxReadsPerTurn = 1024;        // also bounds many short reads
-constexpr int kSendBufferBytes = 256 * 1024;  // without a limit the kernel buffers megabytes per slow client
+    4 * kReadChunkBytes;                       // bounds the time that one stream takes from the others
+constexpr int kMaxReadsPerTurn = 1024;         // also bounds many short reads
+constexpr std::size_t kMinQueuedBytes = 4096;  // short writes share a string of the queue up to this size
+constexpr int kSendBufferBytes = 256 * 1024;   // without a limit the kernel buffers megabytes per slow client
 
 void disableNagle(int fd) {
     const int on = 1;
@@ -174,6 +175,25 @@
     return std::chrono::milliseconds{info.tcpi_last_data_recv};
 }
 
+std::size_t Stream::queuedInputBytes() const {
+    int queued = 0;
+    if (::ioctl(fd_.get(), SIOCINQ, &queued) != 0) queued = 0;
+    return static_cast<std::size_t>(queued);
+}
+
+void Stream::markQueuedInput() {
+    if (!queuedInput_) queuedInput_ = QueuedInput{loop_.now(), loop_.now(), queuedInputBytes()};
+}
+
+void Stream::countQueuedInput(std::size_t readBytes) {
+    if (!queuedInput_) return;
+    if (readBytes < queuedInput_->markedBytes) {
+        queuedInput_->markedBytes -= readBytes;
+        return;
+    }
+    *queuedInput_ = {queuedInput_->markedAt, loop_.now(), queuedInputBytes()};
+}
+
 std::size_t Stream::unacknowledgedBytes() const {
     int unacknowledged = 0;
     if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
@@ -189,6 +209,11 @@
 void Stream::write(std::string bytes) {
     if (state_ == State::closed || bytes.empty()) return;
     unsentBytes_ += bytes.size();
+    // Many short answers to a slow reader would otherwise take several times their size.
+    if (!queue_.empty() && queue_.back().size() + bytes.size() <= kMinQueuedBytes) {
+        queue_.back() += bytes;
+        return;
+    }
     queue_.push_back(std::move(bytes));
     if (state_ == State::open && queue_.size() == 1) flush();
 }
@@ -302,17 +327,20 @@
     std::size_t all = 0;
     for (int i = 0; i < kMaxReadsPerTurn && all < kMaxBytesPerTurn; ++i) {
         readable_ = true;
-        if (paused_) {
+        const std::size_t limit = paused_ ? 0 : lingering_ ? chunk.size() : observer_.streamReadLimit();
+        if (limit == 0) {
+            paused_ = true;
+            markQueuedInput();
             // The close triggers no further edge and follows unread data; it must not wait until reading
             // resumes.
-            if (peerClosed_) end(CloseReason::closedByPeer);
+            if (peerClosed_ || sendBroken_) end(peerClosed_ ? CloseReason::closedByPeer : CloseReason::reset);
             return 0;
         }
-        const ssize_t got = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
+        const ssize_t got = ::recv(fd_.get(), chunk.data(), std::min(limit, chunk.size()), 0);
         if (got < 0 && errno == EINTR) continue;
         if (got < 0 && wouldBlock(errno)) {
             readable_ = false;
-            backloggedSince_.reset();
+            queuedInput_.reset();
             if (sendBroken_) end(CloseReason::reset);
             return 0;
         }
@@ -336,8 +364,9 @@
             return 0;
         }
         if (state_ == State::closed) return 0;
+        countQueuedInput(static_cast<std::size_t>(got));
     }
-    if (!backloggedSince_) backloggedSince_ = loop_.now();
+    markQueuedInput();
     return EPOLLIN;
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include <deque>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,9 @@
     public:
         virtual ~Observer() = default;
         virtual void streamOpened() {}
+        // How many bytes may be read now. Zero pauses reading until pauseReading(false); input then waits in
+        // the kernel.
+        virtual std::size_t streamReadLimit() { return std::numeric_limits<std::size_t>::max(); }
         // False: the data violates the protocol; the stream ends as malformed.
         virtual bool streamData(std::string_view data) = 0;
         virtual void streamFlushed() {}  // the kernel has all that was written
@@ -55,15 +59,17 @@
     // the time is up or the peer has sent too much. Closing a socket with unread input sends a reset, upon
     // which the peer loses data that it has not read yet.
     void closeLingering(Micros within);
-    bool nothingUnread() const;  // the receive buffer is empty
-    bool peerHasClosed() const;  // also where unread data precedes the end
+    bool nothingUnread() const;            // the receive buffer is empty
+    std::size_t queuedInputBytes() const;  // unread in the kernel
+    bool peerHasClosed() const;            // also where unread data precedes the end
     // Reads in the next turn, and reports the peer's close if it has come.
     void readNextTurn() { loop_.callNextTurn(id_, EPOLLIN); }
     // From now on, unread input is dropped once the peer has closed.
     void dropInputOnPeerClose() { dropInputOnPeerClose_ = true; }
-    // Input has exceeded the budget of each turn for longer than kReadBacklogThreshold.
-    bool readBacklogged() const {
-        return backloggedSince_ && loop_.now() - *backloggedSince_ > kReadBacklogThreshold;
+    // How long the oldest unread input may have waited in the kernel because reading was paused or the budget
+    // of a turn was used up; zero if none has.
+    Micros inputQueuedFor() const {
+        return queuedInput_ ? loop_.now() - queuedInput_->arrivedSince : Micros{0};
     }
     // Time since the kernel received the last byte, read or not; zero if unknown.
     Micros timeSinceLastReceive() const;
@@ -84,6 +90,16 @@
     void checkLinger();
     std::size_t unacknowledgedBytes() const;  // queued here or unacknowledged in the kernel
     std::uint32_t readAvailable();
+    void markQueuedInput();
+    void countQueuedInput(std::size_t readBytes);
+
+    // Input that was left in the kernel. It is read in order: once the bytes that were queued at a moment
+    // have been read, all further ones have arrived after that moment.
+    struct QueuedInput {
+        Micros arrivedSince{};  // no unread byte arrived before this moment
+        Micros markedAt{};
+        std::size_t markedBytes = 0;  // still unread of those that were queued then
+    };
 
     Loop& loop_;
     Descriptor fd_;
@@ -104,8 +120,7 @@
     std::size_t unacknowledgedBytes_ = 0;  // at the last check of the linger
     Micros lingerTime_{}, lastProgressAt_{};
     Loop::TimerKey timer_{};
-    static constexpr Micros kReadBacklogThreshold{10'000};
-    std::optional<Micros> backloggedSince_;
+    std::optional<QueuedInput> queuedInput_;
     bool sendBroken_ = false;  // a send failed permanently; earlier input is still read
     std::optional<Loop::TimerKey> retry_;
     std::uint32_t retryEvents_ = 0;
--- a/src/platform/client_messages.cpp
+++ b/src/platform/client_messages.cpp
@@ -9,7 +9,13 @@
 namespace {
 
 constexpr std::size_t kMaxMessages = 64;
-constexpr std::size_t kMaxMessageBytes = 64 * 1024;
+constexpr std::size_t kMaxQueuedMessageBytes = 64 * 1024;
+constexpr std::size_t kMessageOverheadBytes = 320;    // of its strings and its place in the queue
+constexpr std::size_t kKeptCapacityBytes = 4 * 1024;  // of the buffer of a client that has nothing unparsed
+
+std::size_t memoryOf(const std::vector<std::string>& elements) {
+    return totalBytes(elements) + kMessageOverheadBytes;
+}
 
 bool isCallOf(const std::vector<std::string>& elements, const std::string& tag) {
     return elements.size() > 2 && elements[0] == "CALL" && elements[1] == tag;
@@ -25,15 +31,16 @@
 void ClientMessages::parse() {
     using Status = net::RespParser::Status;
     std::string_view rest = bytes_;
-    while (!malformed_ && messages_.size() < kMaxMessages && messageBytes_ < kMaxMessageBytes &&
+    while (!malformed_ && messages_.size() < kMaxMessages && messageBytes_ < kMaxQueuedMessageBytes &&
            !rest.empty()) {
         const Status status = parser_.feed(rest);
         malformed_ = status == Status::malformed;
         if (status != Status::message) continue;
         messages_.push_back({parser_.takeMessage(), bytesArrivedAt_});
-        messageBytes_ += totalBytes(messages_.back().elements);
+        messageBytes_ += memoryOf(messages_.back().elements);
     }
     bytes_.erase(0, bytes_.size() - rest.size());
+    if (bytes_.empty() && bytes_.capacity() > kKeptCapacityBytes) bytes_.shrink_to_fit();
 }
 
 ClientMessages::Cancellations ClientMessages::extractCancellations(
@@ -63,12 +70,12 @@
 ClientMessages::Message ClientMessages::takeAt(std::size_t at) {
     Message message = std::move(messages_[at]);
     messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(at));
-    messageBytes_ -= totalBytes(message.elements);
+    messageBytes_ -= memoryOf(message.elements);
     return message;
 }
 
 void ClientMessages::clear() {
-    bytes_.clear();
+    std::string().swap(bytes_);
     messages_.clear();
     messageBytes_ = 0;
 }
--- a/src/platform/client_messages.hpp
+++ b/src/platform/client_messages.hpp
@@ -1,5 +1,6 @@
 // Input of a client that the front has not handled yet: bytes, and complete messages with their arrival
-// times. Bounded in count and bytes; input beyond that stays in the socket.
+// times. The messages are bounded in count and bytes; how many bytes there may be is up to the reader
+// (ClientMemory), and input beyond that stays in the socket.
 #pragma once
 
 #include <chrono>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "../net/resp.hpp"
+#include "front_limits.hpp"
 
 namespace lotuslead::platform {
 
@@ -38,15 +40,19 @@
 
     bool empty() const { return bytes_.empty() && messages_.empty(); }  // apart from an incomplete message
     bool midMessage() const { return parser_.midMessage(); }
+    // Bytes that the incomplete message lacks at least.
+    std::size_t missingBytes() const { return parser_.missingBytes(); }
     bool malformed() const { return malformed_; }  // input behind the queued messages is unreadable
     bool hasRoom() const { return !malformed_ && bytes_.empty(); }
-    std::size_t heldBytes() const { return bytes_.size() + messageBytes_ + parser_.bufferedBytes(); }
+    std::size_t heldBytes() const { return bytes_.capacity() + messageBytes_ + parser_.bufferedBytes(); }
+    // The longest that input may have waited, unread or here, without being looked through for a CANCEL.
+    Micros unparsedFor(Micros now) const { return bytes_.empty() ? Micros{0} : now - bytesArrivedAt_; }
     void clear();
 
 private:
     Message takeAt(std::size_t at);
 
-    net::RespParser parser_{{8, 64 * 1024, 80 * 1024}};
+    net::RespParser parser_{{8, 64 * 1024, limits::kMaxMessageBytes}};
     std::string bytes_;  // not yet parsed into messages
     Micros bytesArrivedAt_{};
     std::deque<Message> messages_;
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -15,6 +15,8 @@
 #include "../net/resp.hpp"
 #include "../net/stream.hpp"
 #include "../support/moving_average.hpp"
+#include "client_memory.hpp"
+#include "input_queue.hpp"
 
 namespace lotuslead::platform {
 
@@ -23,8 +25,8 @@
     struct Counters {
         std::uint64_t connections = 0, rejectedConnections = 0, closedIdle = 0, closedSilent = 0,
                       closedMidMessage = 0, malformed = 0, invalidCalls = 0, refusedOverLimit = 0,
-                      closedAsUseless = 0, refusedNoMemory = 0, droppedAnswers = 0, checks = 0, drained = 0,
-                      drainRefused = 0, endedByClient = 0, reset = 0;
+                      closedAsUseless = 0, refusedNoMemory = 0, refusedUnread = 0, droppedAnswers = 0,
+                      checks = 0, drained = 0, drainRefused = 0, endedByClient = 0, reset = 0;
     };
 
     Front(net::Loop& loop, core::RequestDispatcher& requests, const settings::Configuration& configuration);
@@ -62,13 +64,13 @@
 
     void accept(net::Descriptor fd);
     bool evictClient();
-    bool hasRoomForCall(std::size_t backlog) const;
-    // Limit of the held bytes, for a client with this many unread bytes.
-    std::size_t heldBytesLimit(std::size_t backlog) const;
+    // For a call of a client that would then hold `own` bytes, this call included.
+    bool hasRoomForCall(std::size_t own) const;
     // Fields of a refusal by this front, with a retry-after time if the settings support it.
     std::string refusalFields() const;
     void removeClient(Client* client);
-    std::size_t maxClientBacklog() const;
+    void scheduleInputResume();
+    void scheduleMemoryTrim();
     void sweepForDrain();
     bool refusesCalls() const;
     bool reportsLeaving() const;
@@ -83,9 +85,9 @@
     int processCount_ = 1;
     net::Descriptor inherited_;
     std::size_t maxClients_ = 0;
-    std::size_t maxHeldBytes_ = 0;
-    // Answers that clients have not read yet, and calls not yet handled.
-    std::size_t heldBytes_ = 0;
+    ClientMemory memory_;
+    InputQueue inputQueue_{memory_};
+    std::optional<net::Loop::TimerKey> inputResumeTimer_, memoryTrimTimer_;
     // Sizes of about the last fifty answers; before the first one, a quarter of the maximum.
     MovingAverage answerBytes_{0.02, 0.02, 60'000};
     bool shuttingDown_ = false;
--- a/src/platform/front_limits.hpp
+++ b/src/platform/front_limits.hpp
@@ -18,7 +18,14 @@
 inline constexpr std::size_t kMaxClientBacklogBytes = 2 * 1024 * 1024;
 inline constexpr std::size_t kClientsAtFullBacklog = 16;     // that many clients may reach that limit
 inline constexpr std::size_t kSlowReaderBytes = 256 * 1024;  // unread answers that mark a slow reader
-inline constexpr double kAnswerSizeDeviations = 3;           // deviations of the answer size above its mean
+inline constexpr std::size_t kMaxMessageBytes = 80 * 1024;   // of one message of a client
+inline constexpr std::size_t kOpenCallBytes = 3 * 1024;      // of an open call without its body and answer
+inline constexpr std::size_t kBodyCopies = 2;                // the call's, and the one on its way to a store
+inline constexpr Micros kInputResumeInterval = 1ms;          // for clients whose input waits for memory
+inline constexpr Micros kMemoryTrimDelay = 500ms;            // after a burst of clients
+// No attempt may begin more than 0.1 s after its client has closed or cancelled.
+inline constexpr Micros kMaxCancelDelay = 90ms;
+inline constexpr double kAnswerSizeDeviations = 3;  // deviations of the answer size above its mean
 // Time for the answer to reach the client, whose own deadline counts from when it sent the call.
 inline constexpr Micros kAnswerTransitTime = 10ms;
 inline constexpr Micros kRefusalRetryAfter = 200ms;
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -28,6 +28,7 @@
                             {"beyond_bound", f.refusedOverLimit},
                             {"retired", f.closedAsUseless},
                             {"no_room", f.refusedNoMemory},
+                            {"cancel_unread", f.refusedUnread},
                             {"dropped", f.droppedAnswers},
                             {"checks", f.checks},
                             {"drained", f.drained},
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -33,7 +34,12 @@
         Descriptor fd(::accept4(listening.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         stream = std::make_unique<Stream>(loop, std::move(fd), *this);
     }
-    bool streamData(std::string_view) override { return true; }
+    bool streamData(std::string_view data) override {
+        readBytes += data.size();
+        queuedFor = stream->inputQueuedFor();
+        return true;
+    }
+    std::size_t streamReadLimit() override { return readLimit; }
     void streamFlushed() override { ++drained; }
     void streamEnded(Stream::CloseReason) override { ended = true; }
 
@@ -41,6 +47,8 @@
     std::unique_ptr<Stream> stream;
     bool ended = false;
     int drained = 0;
+    std::size_t readBytes = 0, readLimit = std::numeric_limits<std::size_t>::max();
+    Micros queuedFor{};  // of the input read last
 };
 
 // With a full send buffer, tryWrite must not send a part of the data, neither at once nor later.
@@ -82,6 +90,51 @@
     EXPECT_TRUE(pair.ended);
 }
 
+TEST(Stream, ReadsNoMoreThanItsObserverAllows) {
+    Loop loop;
+    ConnectedStream pair(loop);
+    pair.readLimit = 4;
+    ASSERT_EQ(::send(pair.peer.get(), "abcdef", 6, 0), 6);
+    while (pair.readBytes == 0) loop.turn(loop.now() + 1s);
+    EXPECT_EQ(pair.readBytes, 6u);  // four, then the rest
+    pair.readLimit = 0;
+    ASSERT_EQ(::send(pair.peer.get(), "ghi", 3, 0), 3);
+    loop.turn(loop.now() + 20ms);
+    EXPECT_EQ(pair.readBytes, 6u);
+    EXPECT_EQ(pair.stream->queuedInputBytes(), 3u);
+    pair.readLimit = 4;
+    loop.turn(loop.now() + 20ms);
+    EXPECT_EQ(pair.readBytes, 6u);  // until it is resumed
+    pair.stream->pauseReading(false);
+    loop.turn(loop.now() + 20ms);
+    EXPECT_EQ(pair.readBytes, 9u);
+}
+
+// The wait of unread input counts against the deadline of the requests in it.
+TEST(Stream, TellsHowLongInputHasBeenQueued) {
+    Loop loop;
+    ConnectedStream pair(loop);
+    loop.turn(loop.now());
+    EXPECT_EQ(pair.stream->inputQueuedFor(), 0us);
+    pair.stream->pauseReading(true);
+    ASSERT_EQ(::send(pair.peer.get(), "first", 5, 0), 5);
+    loop.turn(loop.now() + 20ms);
+    const Micros queuedAt = loop.now();
+    while (loop.now() < queuedAt + 50ms) loop.turn(queuedAt + 50ms);
+    ASSERT_EQ(::send(pair.peer.get(), "second", 6, 0), 6);
+    EXPECT_EQ(pair.stream->inputQueuedFor(), loop.now() - queuedAt);
+    pair.readLimit = 5;
+    pair.stream->pauseReading(false);
+    loop.turn(loop.now());
+    EXPECT_EQ(pair.readBytes, 11u);
+    EXPECT_GE(pair.queuedFor, 50ms);                // the second part is taken to be as old as the mark
+    EXPECT_EQ(pair.stream->inputQueuedFor(), 0us);  // nothing is left
+    ASSERT_EQ(::send(pair.peer.get(), "third", 5, 0), 5);
+    loop.turn(loop.now() + 1s);
+    EXPECT_EQ(pair.readBytes, 16u);
+    EXPECT_EQ(pair.queuedFor, 0us);
+}
+
 TEST(Stream, LingeringCloseWaitsForThePeerWithoutBusyLooping) {
     Loop loop;
     ConnectedStream pair(loop);
