Count dates of purges heard live as evidence of how late a start is reported

Cause: only dates of lists were compared; purges are told sooner and more often. Change: the date of a purge that is heard live shows how far the event bus's clock has come, too. Not for the first list, where a clock of purges that is ahead would warm a cold store; a clock an hour off shows itself and warms nothing.

--- a/bench/scale/headless_gateways.cpp
+++ b/bench/scale/headless_gateways.cpp
@@ -74,7 +74,7 @@
             decisions_.applyHostList(loop_.now(), event, reader_.caughtUp());
             return recordChange(event);
         }
-        decisions_.applyPurge(loop_.now(), event);
+        decisions_.applyPurge(loop_.now(), event, reader_.caughtUp());
         const auto number = purgeNumberOf(event.purgedObject);
         if (!number) return;
         if (*number >= purgeKnown_.size()) purgeKnown_.resize(*number + 1);
--- a/src/core/decision_facade.cpp
+++ b/src/core/decision_facade.cpp
@@ -171,7 +171,8 @@
     convertActions(now);
 }
 
-void DecisionFacade::applyPurge(Micros now, const settings::BusEvent& event) {
+void DecisionFacade::applyPurge(Micros now, const settings::BusEvent& event, bool receivedLive) {
+    if (receivedLive && event.purgedMs > 0) listClock_.observe(now, event.purgedMs);
     Purge purge;
     purge.object = event.purgedObject.empty() ? 0 : fingerprint(event.purgedObject);
     purge.group = event.purgedGroup;
--- a/src/core/decision_facade.hpp
+++ b/src/core/decision_facade.hpp
@@ -100,8 +100,9 @@
     // all dates are known.
     void initialListsComplete(Micros now);
     // A purge counts as made when it is received, which is the latest possible time: its date comes from
-    // another machine, and our wall clock may have been wrong when the process started.
-    void applyPurge(Micros now, const settings::BusEvent& event);
+    // another machine, and our wall clock may have been wrong when the process started. The date of one that
+    // is received live shows how far the clock of the event bus has come.
+    void applyPurge(Micros now, const settings::BusEvent& event, bool receivedLive);
 
     Decision pick(Micros now, const Request& request);
     std::vector<Decision> report(Micros now, const AttemptReport& report);
--- a/src/core/list_clock.hpp
+++ b/src/core/list_clock.hpp
@@ -1,9 +1,10 @@
-// Derives from the dates of a host list when a host can have started at the latest, on our monotonic clock.
+// Derives from the dates that the event bus tells when a host can have started at the latest, on our
+// monotonic clock.
 //
 // The dates come from the wall clock of another machine, and either machine's wall clock may be off by any
-// amount. So a date is compared with other dates of the list only, never with our own wall clock: a date that
-// is known shows how far the clock that made it had come at least. Assumed is that one clock dates a list and
-// that it is not stepped between the starts that are compared.
+// amount. So a date is compared with other dates of the event bus only, never with our own wall clock: a date
+// that is known shows how far the clock that made it had come at least. Assumed is that one clock makes the
+// dates that are compared and that it is not stepped between them.
 #pragma once
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 public:
     using Micros = std::chrono::microseconds;  // point in time on the monotonic clock, or a span
 
-    // The list is known to contain this date (Unix milliseconds) at `now`.
+    // The event bus is known to have told this date (Unix milliseconds) at `now`.
     void observe(Micros now, std::int64_t dateMs) {
         if (now - windowBegan_ >= kEvidenceTime) {
             previousOffset_ = now - windowBegan_ < 2 * kEvidenceTime ? currentOffset_ : std::nullopt;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -196,13 +196,14 @@
             baseConfiguration(configuration_).decoded.settings.drainGrace);
     }
     void applyEvent(const settings::BusEvent& event) {
+        const bool receivedLive = isOpen_ && busReader_.caughtUp();
         if (!event.isStoreList) {
             if (tier_) purgeTier(event);
-            return decisions_.applyPurge(loop_.now(), event);
+            return decisions_.applyPurge(loop_.now(), event, receivedLive);
         }
         // Decisions first: an attempt that ends with a host's connections is then not sent to that host
         // again.
-        decisions_.applyHostList(loop_.now(), event, isOpen_ && busReader_.caughtUp());
+        decisions_.applyHostList(loop_.now(), event, receivedLive);
         transport_.applyHostList(event);
     }
 
--- a/tests/host_start_test.cpp
+++ b/tests/host_start_test.cpp
@@ -90,6 +90,34 @@
     EXPECT_EQ(ageOf(decisions_, "late", kNow + 10s), 3s);
 }
 
+// Purges are told quickly, lists seconds late.
+TEST_P(HostStart, PurgesThatAreReceivedLiveShowThatAReportIsLate) {
+    for (const bool live : {true, false}) {
+        DecisionFacade decisions{testSettings(), 1, kNow, kUnixClockOffset};
+        settings::BusEvent purge;
+        purge.purgedObject = "object";
+        purge.purgedMs = storeStartedAt("", kNow, error()).startedAtMs;
+        decisions.applyPurge(kNow, purge, live);
+        const Micros later = kNow + 10s;
+        decisions.applyHostList(later, listOf({storeStartedAt("a", later - 3s, error())}, false), true);
+        EXPECT_EQ(ageOf(decisions, "a", later), live ? 3s : 0s);
+    }
+}
+
+// Whatever clock dates purges, it warms no host of the first list, and none that has started within a minute.
+TEST_P(HostStart, PurgesDatedByAnotherClockWarmNoNewHost) {
+    settings::BusEvent purge;
+    purge.purgedObject = "object";
+    purge.purgedMs = storeStartedAt("", kNow, error() + 3600s).startedAtMs;
+    decisions_.applyPurge(kNow, purge, false);
+    decisions_.applyHostList(kNow, listOf({storeStartedAt("first", kNow, error())}, true), false);
+    decisions_.initialListsComplete(kNow);
+    decisions_.applyPurge(kNow, purge, true);
+    decisions_.applyHostList(kNow, listOf({storeStartedAt("next", kNow, error())}, false), true);
+    EXPECT_EQ(ageOf(decisions_, "first", kNow), 0s);
+    EXPECT_EQ(ageOf(decisions_, "next", kNow), 0s);
+}
+
 TEST_P(HostStart, StepOfTheListsClockDoesNotWarmANewHost) {
     decisions_.applyHostList(kNow, listOf({storeStartedAt("before", kNow, error())}, true), true);
     for (const Micros step : {-3600s, 3600s}) {
