Leave further requests of repository clients in the kernel

Cause: as at the platform's front: up to 256 KB a turn were read from each client, and 64 KB of requests and 64 KB of a body kept, before anything was asked. Change: 8 KB of each client are read ahead; a body, which is ignored, may have 8 KB (413 beyond, 64 KB before).

--- a/src/repository/front.cpp
+++ b/src/repository/front.cpp
@@ -19,9 +19,11 @@
 constexpr Micros kIdleTimeout = 30s;        // for connections without any progress
 constexpr Micros kRequestTimeout = 2800ms;  // from connecting, or a request's first byte, to its last
 constexpr int kMaxRequestsPerTurn = 16;     // of one client, so that others get their turn
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;  // of further requests during an answer
-constexpr Micros kDrainSweepInterval = 50ms;           // for closing idle connections
-constexpr Micros kRefuseAfterDrainStart = 1900ms;      // as in the platform's front
+constexpr std::size_t kMaxUnparsedBytes =
+    8 * 1024;  // of one client; what it sends beyond waits in the kernel
+constexpr net::HttpParser::Limits kRequestLimits{16 * 1024, 8 * 1024};  // bodies are read and ignored
+constexpr Micros kDrainSweepInterval = 50ms;                            // for closing idle connections
+constexpr Micros kRefuseAfterDrainStart = 1900ms;                       // as in the platform's front
 constexpr Micros kMinAgeToDrain = 500ms;
 constexpr std::size_t kMaxReservedDescriptors = 128;
 
@@ -74,7 +76,7 @@
 public:
     Client(Front& owner, net::Descriptor fd)
         : owner_(owner),
-          parser_(net::HttpParser::Kind::request, {16 * 1024, 64 * 1024}),
+          parser_(net::HttpParser::Kind::request, kRequestLimits),
           connectedAt_(owner.loop_.now()),
           lastActivity_(connectedAt_),
           requestPendingSince_(connectedAt_),
@@ -144,9 +146,11 @@
 
     // ----- requests -----
 
+    std::size_t streamReadLimit() override {
+        return kMaxUnparsedBytes - std::min(kMaxUnparsedBytes, unparsed_.size());
+    }
     bool streamData(std::string_view data) override {
         unparsed_.append(data);
-        if (current_ && unparsed_.size() > kMaxPipelinedBytes) stream_.pauseReading(true);
         parseRequests();
         if (!stream_.closed()) restartTimer();
         return true;
--- a/tests/client_memory_test.cpp
+++ b/tests/client_memory_test.cpp
@@ -5,6 +5,7 @@
 // clients with 300 calls each took 68 to 79 MB of 32, and 340 with bodies of 48,000 bytes took 130 MB.
 #include <sys/resource.h>
 
+#include "repository_server.hpp"
 #include "scenarios.hpp"
 
 namespace {
@@ -179,6 +180,43 @@
     assert(after == 0);
 }
 
+// The same at the repository front: clients send many requests at once behind one whose answer is not there
+// yet.
+void pipelinedRequests() {
+    constexpr int kClients = 340, kRequests = 200;
+    const std::string ignoredField = "X-Padding: " + std::string(1000, 'x') + "\r\n";
+    EventCounter held, mayEnd;
+    Peer server([&](Connection& c) {
+        if (c.readHead().empty()) return;
+        held.raise();
+        mayEnd.await(1);
+    });
+    json settings = repositoryConfiguration({host("cache-1", server.address()),
+                                             host("parent-1", server.address(), "parent"),
+                                             host("origin-1", server.address(), "origin")});
+    settings["limits"]["memory_mb"] = kMemoryMb;
+    Program program(settings, "LB_REPOSITORY");
+    const std::uint16_t port = program.port();
+    std::string all;
+    for (int i = 0; i < kRequests; ++i)
+        all += "GET /nowhere HTTP/1.1\r\nHost: here\r\n" + ignoredField + "\r\n";
+    std::vector<std::unique_ptr<Connection>> clients;
+    std::vector<std::thread> senders;
+    for (int i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<Connection>(port));
+        ask(*clients.back(), "/index/plugins.json");
+    }
+    held.await(1);
+    for (const auto& client : clients) senders.emplace_back([&all, c = client.get()] { c->send(all); });
+    std::this_thread::sleep_for(500ms);
+    const long peak = peakKb(program.pid());
+    for (const auto& client : clients) client->shut();
+    for (std::thread& sender : senders) sender.join();
+    mayEnd.raise();
+    std::fprintf(stderr, "%d clients with %d requests each: peak %ld KB\n", kClients, kRequests, peak);
+    assert(peak > 0 && peak <= kMaxPeakKb);
+}
+
 }  // namespace
 
 int main(int argumentCount, char** arguments) {
@@ -187,6 +225,7 @@
         {"large-bodies", largeBodies},
         {"half-messages", halfMessages},
         {"cancelled-unread", cancelledWhileUnread},
+        {"pipelined-requests", pipelinedRequests},
     };
     runScenarios(scenarios, argumentCount, arguments);
     return 0;
