Close a retired connection at once where its input can't be read

Cause: reads a retired connection to its end before it closes; unreadable input is never read to its end. Change: once input is unreadable the connection doesn't wait for what is unread. The front's timers are cancelled after its clients are gone, since those may arm them.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -46,9 +46,9 @@
 
 Front::~Front() {
     undrain();
+    for (const auto& [key, client] : clients_) client->abortConnection();
     if (inputResumeTimer_) loop_.cancel(*inputResumeTimer_);
     if (memoryTrimTimer_) loop_.cancel(*memoryTrimTimer_);
-    for (const auto& [key, client] : clients_) client->abortConnection();
 }
 
 void Front::open() {
--- a/src/platform/front_client.hpp
+++ b/src/platform/front_client.hpp
@@ -209,6 +209,7 @@
     void closeMalformed() {
         ++owner_.counters_.malformed;
         refusesNewCalls_ = true;
+        readsUntilClose_ = false;
         input_.clear();
         failOpenCalls();
         closeIfAnswered();
--- a/tests/platform_clients_test.cpp
+++ b/tests/platform_clients_test.cpp
@@ -181,6 +181,27 @@
     assert(program.log().find("retired=2") != std::string::npos);
 }
 
+// A connection with too many open calls is read to its end before it closes, but not if its input is
+// unreadable.
+void aBurstThatEndsInGarbageIsClosedAtOnce() {
+    constexpr int kCalls = 60;
+    Fleet fleet;
+    Peer cache(store([](Connection&, const std::vector<std::string>&) {}));
+    json wide = host("cache-1", cache.address());
+    wide["weight"] = 1000;  // enough link capacity for all calls
+    json settings = configuration(fleet.with({wide}));
+    settings["settings"]["weights"] = "nominal";
+    Program program(settings);
+    Connection client(program.port());
+    const auto sentAt = std::chrono::steady_clock::now();
+    for (int i = 1; i <= kCalls; ++i) call(client, std::to_string(i));
+    client.send(std::string(400'000, 'x'));
+    int answers = 0;
+    while (!client.readResp().empty()) ++answers;
+    assert(answers == kCalls);
+    assert(std::chrono::steady_clock::now() - sentAt < 2s);  // 2.8 s are for what may still become readable
+}
+
 void silentAndPartialConnectionsAreClosedAndIdleOnesKept() {
     Fleet fleet;
     Program program(configuration(fleet.with({})));
@@ -257,6 +278,7 @@
     aDuplicateTagDoesNotAffectTheOpenRequest();
     openCallsOfAMalformedConnectionAreAnsweredBeforeItCloses();
     aBurstOfOneClientDoesNotDelayOthers();
+    aBurstThatEndsInGarbageIsClosedAtOnce();
     silentAndPartialConnectionsAreClosedAndIdleOnesKept();
     silentConnectionsDoNotShutOutClients();
     partialMessagesDoNotShutOutClientsAtSmallLimits();
