--- a/src/platform/front_client.hpp
+++ b/src/platform/front_client.hpp
@@ -260,6 +260,9 @@
 
     // ----- timeouts -----
 
+    bool inputWaitsForUs() const {
+        return !input_.empty() || (!stream_.closed() && !stream_.nothingUnread());
+    }
     void updateMessageTimer() {
         if (refusesNewCalls_ || !hasSentMessage_) return;
         if (!input_.midMessage()) return cancelMessageTimer();
@@ -270,6 +273,8 @@
         messageTimer_ = owner_.loop_.after(delay, [this] {
             messageTimer_.reset();
             if (refusesNewCalls_) {
+                if (readsUntilClose_ && inputWaitsForUs() && closeExtensions_++ < kMaxCloseExtensions)
+                    return armMessageTimer(kCloseLinger);
                 readsUntilClose_ = false;
                 input_.clear();
                 failOpenCalls();
@@ -482,6 +487,7 @@
     Micros connectedAt_, lastUsed_, lastByteAt_, lastCallAt_{};
     std::optional<net::Loop::TimerKey> messageTimer_, resumeTimer_;
     int uselessMessages_ = 0;
+    int closeExtensions_ = 0;
     bool handlingPosted_ = false;
     bool waitingForRoom_ = false;   // in owner_.inputQueue_
     bool hasSentMessage_ = false;   // at least one complete message has arrived
--- a/src/platform/front_limits.hpp
+++ b/src/platform/front_limits.hpp
@@ -33,6 +33,7 @@
 inline constexpr Micros kFirstMessageTimeout = 2800ms;  // from connecting to the first complete message
 inline constexpr Micros kMessageTimeout = 2800ms;       // from the first byte of a later message to its last
 inline constexpr Micros kCloseLinger = 500ms;           // for the client to read its answers before the close
+inline constexpr int kMaxCloseExtensions = 8;           // by that time, while its input waits to be read
 inline constexpr Micros kSilentGrace = 200ms;           // a new connection may be about to send a request
 inline constexpr Micros kPartialMessageGrace = 50ms;    // a sender may be between two writes
 // For a partial message to continue before the process exits.
--- a/src/platform/input_queue.hpp
+++ b/src/platform/input_queue.hpp
@@ -11,16 +11,18 @@
 
 namespace lotuslead::platform {
 
-// A client as the queue sees it.
+// A client as the queue sees it. Nobody owns one through this interface.
 class InputWaiter {
 public:
-    virtual ~InputWaiter() = default;
     virtual std::size_t heldInputBytes() const = 0;
     virtual bool inPartialMessage() const = 0;
     virtual bool hasQueuedInput() const = 0;  // unread in the kernel
     // Whether the kernel has what the client's partial message lacks, as far as that is known.
     virtual bool canCompleteMessage() const = 0;
     virtual void resumeInput() = 0;
+
+protected:
+    ~InputWaiter() = default;
 };
 
 class InputQueue {
--- a/tests/platform_clients_test.cpp
+++ b/tests/platform_clients_test.cpp
@@ -20,6 +20,8 @@
     assert(closed == 20);
     call(first, "2");
     assert(first.readResp()[1] == "SERVED");
+    crowd.front().reset();  // alone, so that its end is handled with no further descriptor free
+    std::this_thread::sleep_for(100ms);
     crowd.clear();
     for (int i = 0; i < 5; ++i) {  // until it has noticed those closes
         Connection next(port);
