Keep a connection open while its input waits to be read within a message

Cause: the timer of a half message starts with the first one and runs on while each look finds another one begun. Change: input that waits unread counts as waiting for us, unless the client waits for room and hasn't sent the rest.

--- a/src/platform/front_client.hpp
+++ b/src/platform/front_client.hpp
@@ -280,7 +280,8 @@
                 failOpenCalls();
                 return closeIfAnswered();
             }
-            if (!input_.empty() || (waitingForRoom_ && canCompleteMessage()) || backlogged())
+            const bool unread = inputWaitsForUs() && (!waitingForRoom_ || canCompleteMessage());
+            if (!input_.empty() || unread || backlogged())
                 return armMessageTimer(kMessageTimeout);  // input waits for us, not for the client
             ++(hasSentMessage_ ? owner_.counters_.closedMidMessage : owner_.counters_.closedSilent);
             refusesNewCalls_ = true;
