--- a/src/platform/bus_connection.cpp
+++ b/src/platform/bus_connection.cpp
@@ -85,8 +85,8 @@
         return true;
     }
     // Each answer triggers the next read, so unsolicited answers would trigger reads without end.
-    const bool due = pending_ && stream_.unsentBytes() == 0 && data.empty();
-    return status == net::HttpParser::Status::message && due && takeAnswer();
+    const bool due = pending_ && stream_.unsentBytes() == 0;
+    return status == net::HttpParser::Status::message && due && takeAnswer() && data.empty();
 }
 
 bool BusConnection::takeAnswer() {
