--- a/review/stage2.py
+++ b/review/stage2.py
@@ -193,7 +193,7 @@
                     try:
                         self.wfile.write(array(words[1], word.encode(), fields.encode(), body))
                         self.wfile.flush()
-                    except OSError:
+                    except (OSError, ValueError):  # the gateway has closed the connection
                         pass
 
             while (words := read_array(self.rfile)) is not None:
