--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,5 @@
 """An instance was moved to another agent; the first agent is killed, started again, and runs it once more."""
+import concurrent.futures
 import json
 import os
 import sys
@@ -41,8 +42,9 @@
     put(first, before)
     await_true(lambda: passes(before), 10, "gate-1 at the first agent")
     begun = time.monotonic()
-    for number in range(PURGES):
-        agents.put("purges/object/%016x" % (number % 64), {"ts": int(time.time() * 1000) + number}, quiet=True)
+    with concurrent.futures.ThreadPoolExecutor(8) as operators:
+        list(operators.map(lambda number: agents.put("purges/object/%016x" % (number % 64), {
+            "ts": int(time.time() * 1000) + number}, quiet=True), range(PURGES)))
     stage.say("operator", "%d purges in %.1f s" % (PURGES, time.monotonic() - begun))
     put(second, after)
     await_true(lambda: passes(after), 10, "gate-1 at the second agent")
