--- a/review/stage2.py
+++ b/review/stage2.py
@@ -187,7 +187,7 @@
             guard = threading.Lock()
 
             def one(words):
-                word, fields, body = answer(fields_of(words[2]))
+                word, fields, body = answer({**fields_of(words[2]), "id": words[1].decode()})
                 stage.say(name, "answers %s %s %s" % (words[1].decode(), word, fields))
                 with guard:
                     try:
@@ -221,7 +221,8 @@
 
     def call(self, kind, entity="7f3a9c21e0b4d655", block=0, family=17, patience=1500):
         Client.tags += 1
-        fields = "trace=%s,patience=%d,entity=%s,block=%d,family=%d" % (os.urandom(8).hex(), patience, entity, block, family)
+        self.trace = os.urandom(8).hex()
+        fields = "trace=%s,patience=%d,entity=%s,block=%d,family=%d" % (self.trace, patience, entity, block, family)
         self.socket.settimeout(patience / 1000 + 0.5)
         self.stream.write(array(b"CALL", b"%d" % Client.tags, kind.encode(), fields.encode(), b""))
         self.stream.flush()
@@ -468,12 +469,15 @@
 REPOSITORY_RUN = "unset LB_CONFIG LB_DISK LB_OPERATOR; exec build/lotuslead"  # the deploy file's, with the other front on
 
 
-def start_repository(stage, stores, bus):
+def start_repository(stage, stores, bus, settles=None):
     """Starts a gateway with the repository front; returns its port."""
     listen = free_ports(1)[0]
     path = os.path.join(stage.folder, "repository.json")
     with open(path, "w") as out:
-        json.dump(repository_configuration(listen, stores, bus), out)
+        content = repository_configuration(listen, stores, bus)
+        if settles:
+            content["settings"]["extra"]["purgeSettles"] = int(settles * 1e9)
+        json.dump(content, out)
     stage.start("gateway", REPOSITORY_RUN, {"LB_REPOSITORY": path})
     await_true(lambda: accepts(listen), 10, "the gateway's port")
     return listen
