--- a/src/core/decision_facade.cpp
+++ b/src/core/decision_facade.cpp
@@ -227,6 +227,8 @@
     event.object = request.object.empty() ? 0 : fingerprint(request.object);
     event.group = request.group;
     event.part = request.part;
+    if (decodedSettings_.bytesPerKb > 0)
+        event.sizeKb = static_cast<double>(request.span.size()) / decodedSettings_.bytesPerKb;
     event.deadline = routerTime(request.deadline);
     event.repeated = request.repeated;
     event.write = decodedSettings_.settings.classes[static_cast<std::size_t>(request.classIndex)].uncacheable;
--- a/src/core/decision_facade.hpp
+++ b/src/core/decision_facade.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "../settings/settings.hpp"
+#include "byte_span.hpp"
 #include "list_clock.hpp"
 #include "lotuslead/router.hpp"
 
@@ -27,6 +28,7 @@
     std::string object;
     std::int64_t group = 0;
     std::int64_t part = 0;
+    ByteSpan span;  // to be fetched in one response in place of the part; empty: the part
     Micros deadline{};
     bool repeated = false;
     std::string traceId;    // the client's id for the request
--- a/src/core/request_dispatcher.hpp
+++ b/src/core/request_dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "metadata.hpp"
 #include "rules.hpp"
 
 namespace lotuslead::core {
@@ -21,7 +22,7 @@
 struct Payload {
     std::string body;
     bool unchanged = false;  // the client's own copy is still valid: no body
-    std::vector<std::pair<std::string, std::string>> metadata;
+    Metadata metadata;
     std::int64_t createdMs = 0;  // Unix milliseconds; the content is of this time or later; zero: not known
 };
 
--- a/src/disk/caching_transport.cpp
+++ b/src/disk/caching_transport.cpp
@@ -8,12 +8,6 @@
 
 std::int64_t msOf(core::Micros t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t).count(); }
 
-std::string findMetadata(const Metadata& metadata, std::string_view name) {
-    for (const auto& [key, value] : metadata)
-        if (key == name) return value;
-    return {};
-}
-
 }  // namespace
 
 TierOptions tierOptions(const settings::DiskSettings& s, bool bus) {
@@ -65,6 +59,7 @@
 bool CachingTransport::isCacheable(const core::Request& request) const {
     if (tier_ == nullptr || classes_ == nullptr || request.object.empty() || !request.body.empty())
         return false;
+    if (!request.span.empty()) return false;  // copies are kept by part
     const ClassSettings& c = classes_->at(static_cast<std::size_t>(request.classIndex));
     return !c.uncacheable && c.effect == Effect::safe && !c.streamed;
 }
@@ -113,8 +108,9 @@
     end.request = id;
     end.attempt = lookup.send.attempt;
     if (copy) {
-        const std::string tag =
-            traits_.tagMetadataName ? findMetadata(copy->metadata, traits_.tagMetadataName) : std::string{};
+        const std::string tag = traits_.tagMetadataName
+                                    ? core::findMetadata(copy->metadata, traits_.tagMetadataName)
+                                    : std::string{};
         end.payload.unchanged = !tag.empty() && tag == request.knownTag;
         // An answer that only confirms the client's tag costs a twentieth of the bytes on the link.
         const std::size_t bytes = end.payload.unchanged ? copy->body.size() / 20 : copy->body.size();
--- a/src/disk/record.hpp
+++ b/src/disk/record.hpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "../core/metadata.hpp"
 #include "part_index.hpp"
 #include "purge_tombstones.hpp"
 
@@ -32,7 +33,7 @@
 };
 
 // Names and values that a front keeps with a copy, such as header fields.
-using Metadata = std::vector<std::pair<std::string, std::string>>;
+using Metadata = core::Metadata;
 
 struct Copy {
     std::int64_t createdMs = 0;  // Unix milliseconds: the copy is of this time or later
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -39,6 +39,8 @@
     Status feed(std::string_view& data);
     // To be called when the peer has closed. True: this completes a response that is delimited by the close.
     bool endOfStream();
+    // Applies from the next message on.
+    void setMaxBodyBytes(std::size_t bytes) { limits_.maxBodyBytes = bytes; }
     // For responses to HEAD, which have no body whatever their fields say.
     void expectNoBody(bool none) { noBody_ = none; }
 
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -179,6 +179,14 @@
                                 [this] { return !tier_ || tier_->purgesPersisted(); }});
     }
     virtual void printFrontCounters(const std::string& name) const = 0;
+    // Makes all copies of the object that were made before this call unusable, as a purge does.
+    void dropCopies(const std::string& object) {
+        settings::BusEvent purge;
+        purge.purgedObject = object;
+        purge.purgedMs = decisions_.unixMsOf(loop_.now());
+        if (tier_) purgeTier(purge);
+        decisions_.applyPurge(loop_.now(), purge, false);
+    }
 
     net::Loop& loop_;
     Source source_;
--- a/src/repository/front.hpp
+++ b/src/repository/front.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "../net/listener.hpp"
 #include "../net/loop.hpp"
 #include "../net/stream.hpp"
+#include "version_conflicts.hpp"
 
 namespace lotuslead::repository {
 
@@ -21,12 +23,16 @@
         std::uint64_t connections = 0, rejectedConnections = 0, indexes = 0, files = 0, badRequests = 0,
                       notFound = 0, refused = 0, upstreamFailed = 0, late = 0, truncatedResponses = 0,
                       drained = 0, closedIdle = 0, closedMidRequest = 0;
+        std::uint64_t otherVersions = 0;    // parts that did not continue the version of their download
+        std::uint64_t singleResponses = 0;  // spans of several parts that were fetched in one response
     };
 
     Front(net::Loop& loop, core::RequestDispatcher& requests,
           const settings::RepositoryConfiguration& configuration);
     ~Front();
 
+    // `drop` makes the copies of a file unusable that were made before the call, in all caches.
+    void setDropCopies(std::function<void(const std::string& path)> drop) { dropCopies_ = std::move(drop); }
     void open();
     void setProcessCount(int processes);  // divides the limits by the number of processes
     // Applies a changed address and limits; routes are always read from the configuration that the
@@ -53,6 +59,7 @@
     void accept(net::Descriptor fd);
     bool makeRoom();
     bool roomFor(std::size_t bytes) const;
+    std::size_t maxSingleResponseBytes() const;
     void removeClient(Client* client);
     void sweepForDrain();
     bool refusesRequests() const;
@@ -72,6 +79,8 @@
     bool failingRequests_ = false;
     std::optional<core::Micros> drainingSince_;
     std::optional<net::Loop::TimerKey> drainSweepTimer_;
+    std::function<void(const std::string& path)> dropCopies_;
+    VersionConflicts conflicts_;
     RequestId nextId_ = 1;
     std::unique_ptr<net::Listener> listener_;
     net::PreviousListener previousListener_;
--- a/src/repository/target.hpp
+++ b/src/repository/target.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "../core/byte_span.hpp"
+
 namespace lotuslead::repository {
 
 // Returns the path of a request target in normal form, without its query, so that a purge matches every
@@ -22,9 +24,7 @@
 // field then.
 std::optional<ByteRange> parseRange(const std::string* field);
 
-struct ByteSpan {
-    std::uint64_t begin = 0, end = 0;  // `end` is one past the last byte
-};
+using core::ByteSpan;
 // Resolves a range within `total` bytes; nothing if no byte of it exists.
 std::optional<ByteSpan> resolveRange(const ByteRange& range, std::uint64_t total);
 
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -17,6 +17,7 @@
 
 constexpr Micros kConnectTimeout = 400ms;
 constexpr Micros kIdleTimeout = 15s;
+constexpr std::size_t kMaxHeadBytes = 16 * 1024;
 constexpr std::size_t kMaxConnectionsPerServer = 16;
 // The Age field counts whole seconds and cannot express a lower limit; the copy is then revalidated.
 constexpr Micros kMinAgeLimit = 2s;
@@ -56,8 +57,7 @@
     Connection(Upstreams& owner, std::string host, const settings::Endpoint& to)
         : owner_(owner),
           host_(std::move(host)),
-          parser_(net::HttpParser::Kind::response,
-                  {16 * 1024, std::max(owner.configuration_.maxIndexBytes, owner.configuration_.partBytes)}),
+          parser_(net::HttpParser::Kind::response, {kMaxHeadBytes, 0}),
           stream_(owner_.loop_, to, *this) {
         ++owner_.counters_.connects;
         startTimer(owner_.connectTimeout_, Outcome::noConnection);
@@ -73,6 +73,7 @@
     void take(const QueuedAttempt& attempt) {
         stopTimer();
         attempt_ = attempt;
+        parser_.setMaxBodyBytes(owner_.maxBodyBytes(*attempt.request));
         stream_.write(owner_.requestText(*attempt.request, attempt.send));
     }
 
@@ -144,7 +145,7 @@
         end.attempt = attempt.send.attempt;
         end.outcome = Outcome::served;
         auto& metadata = end.payload.metadata;
-        for (const char* name : {"etag", "last-modified", "content-type"})
+        for (const char* name : {"etag", "last-modified", "date", "content-type"})
             if (const std::string* value = head.field(name)) metadata.emplace_back(name, *value);
         int status = head.status;
         const ContentRange range = parseContentRange(head.field("content-range"));
@@ -329,13 +330,20 @@
     return false;
 }
 
+std::size_t Upstreams::maxBodyBytes(const core::Request& request) const {
+    return std::max({configuration_.maxIndexBytes, configuration_.partBytes,
+                     static_cast<std::size_t>(request.span.size())});
+}
+
 std::string Upstreams::requestText(const core::Request& request, const core::Decision& send) {
     const Server& server = servers_[send.host];
     std::string text = "GET " + request.object + " HTTP/1.1\r\nHost: " + server.address + "\r\n";
     if (configuration_.base.decoded.settings.classes[static_cast<std::size_t>(request.classIndex)].inParts) {
         const auto first = static_cast<std::uint64_t>(request.part) * configuration_.partBytes;
-        text += "Range: bytes=" + std::to_string(first) + "-" +
-                std::to_string(first + configuration_.partBytes - 1) + "\r\n";
+        const core::ByteSpan part{first, first + configuration_.partBytes};
+        const core::ByteSpan& wanted = request.span.empty() ? part : request.span;
+        text +=
+            "Range: bytes=" + std::to_string(wanted.begin) + "-" + std::to_string(wanted.end - 1) + "\r\n";
     }
     if (!request.knownTag.empty()) text += "If-None-Match: " + request.knownTag + "\r\n";
     std::string control;
--- a/src/repository/upstreams.hpp
+++ b/src/repository/upstreams.hpp
@@ -57,6 +57,8 @@
     };
 
     void serveQueue(const std::string& host);
+    // Of an answer; more than a part or an index only where the request names such a span.
+    std::size_t maxBodyBytes(const core::Request& request) const;
     std::string requestText(const core::Request& request, const core::Decision& send);
     void report(core::AttemptResult end);
     void report(const QueuedAttempt& attempt, Outcome outcome, bool ignoreForHealth = false);
--- a/src/support/lru_map.hpp
+++ b/src/support/lru_map.hpp
@@ -30,6 +30,12 @@
         return {items_.front().second, false};
     }
 
+    // The value of the key without marking it as used; null if it is absent.
+    const Value* find(const Key& key) const {
+        const auto found = index_.find(key);
+        return found == index_.end() ? nullptr : &found->second->second;
+    }
+
     // Visits all items, least recently used first.
     template <class Visit>
     void fromOldest(Visit visit) const {
