--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -5,6 +5,7 @@
 
 #include "../net/http_client.hpp"
 #include "instances.hpp"
+#include "member_addresses.hpp"
 
 namespace lotuslead::agent {
 
@@ -59,11 +60,12 @@
 }  // namespace
 
 Control::Control(net::Loop& loop, const AgentConfiguration& configuration, const config::Store& store,
-                 Consensus& consensus, Supervisor& supervisor)
+                 Consensus& consensus, const CatchUp& catchUp, Supervisor& supervisor)
     : loop_(loop),
       configuration_(configuration),
       store_(store),
       consensus_(consensus),
+      catchUp_(catchUp),
       supervisor_(supervisor),
       server_(loop, settings::readEndpoint(configuration.self().control, "control"), kLimits,
               net::Priority::normal, [this](const net::HttpHead& head, const std::string& body, Reply reply) {
@@ -89,17 +91,10 @@
     reply({404, "no such path\n", {}});
 }
 
-std::string Control::controlAddressOf(std::uint64_t agent) const {
-    if (const auto* document = store_.find("agents/" + std::to_string(agent)))
-        return document->value.value("control", "");
-    for (const Member& m : configuration_.members)
-        if (m.id == agent) return m.control;
-    return {};
-}
-
 void Control::redirectToLeader(const std::string& target, const Reply& reply) {
     const std::uint64_t leader = consensus_.leader();
-    const std::string control = leader == configuration_.id ? std::string{} : controlAddressOf(leader);
+    const std::string control =
+        leader == configuration_.id ? std::string{} : controlAddressOf(store_, configuration_, leader);
     if (control.empty()) return reply({503, "the agents have no leader now\n", {}});
     reply({307, "", {"Location", "http://" + control + target}});
 }
@@ -128,7 +123,7 @@
         json body = {{"revision", store_.revision()},
                      {"current", current},
                      {"leader", consensus_.leader()},
-                     {"age_ms", current ? 0 : consensus_.leaderContactAgeMs()},
+                     {"age_ms", current ? json(0) : ageMs()},
                      {"documents", documents(target)}};
         const bool one = target.path.size() > 8;
         reply(jsonAnswer(one && body["documents"].empty() ? 404 : 200, body));
@@ -241,7 +236,7 @@
             list.push_back({{"id", member.id},
                             {"raft", member.address},
                             {"role", member.role},
-                            {"control", controlAddressOf(member.id)},
+                            {"control", controlAddressOf(store_, configuration_, member.id)},
                             {"leads", member.id == consensus_.leader()}});
         return reply(jsonAnswer(200, {{"members", list}, {"age_ms", consensus_.leaderContactAgeMs()}}));
     }
@@ -264,7 +259,7 @@
         raft = wanted.value("raft", "");
         settings::readEndpoint(raft, "raft");
         command.transaction.changes.push_back(
-            {"agents/" + std::to_string(id), json{{"control", wanted.value("control", "")}}});
+            {kAgentPrefix + std::to_string(id), json{{"control", wanted.value("control", "")}}});
         config::validate(command.transaction);
     } catch (const std::exception& problem) {
         return reply({400, std::string(problem.what()) + "\n", {}});
@@ -289,19 +284,28 @@
     // Checked before the body is parsed, which takes long for a large one.
     if (!consensus_.isLeader()) return redirectToLeader(head.target, reply);
     if (!consensus_.acceptsProposals()) return reply({503, "not agreed\n", {}});
-    const std::string key = kInstancePrefix + rest;
+    if (catchUp_.caughtUp()) return changeInstance(head.method, rest, body, reply);
+    // A new leader has applied everything only after a barrier.
+    consensus_.barrier([this, method = head.method, rest, body, reply](bool holds) {
+        holds ? changeInstance(method, rest, body, reply) : reply({503, "not agreed\n", {}});
+    });
+}
+
+void Control::changeInstance(const std::string& method, const std::string& name, const std::string& body,
+                             const Reply& reply) {
+    const std::string key = kInstancePrefix + name;
     config::Command command;
     config::Change& change = command.transaction.changes.emplace_back();
     change.key = key;
-    if (head.method == "DELETE") {
-        if (!store_.find(key)) return reply({404, "no instance '" + rest + "'\n", {}});
-    } else if (head.method == "PUT") {
+    if (method == "DELETE") {
+        if (!store_.find(key)) return reply({404, "no instance '" + name + "'\n", {}});
+    } else if (method == "PUT") {
         const json wanted = json::parse(body, nullptr, false);
         const bool isValid = wanted.is_object() && wanted.contains("agent") &&
                              wanted["agent"].is_number_unsigned() && wanted.contains("configuration");
         if (!isValid) return reply({400, "'agent' and 'configuration' are wanted\n", {}});
         const std::uint64_t agent = wanted["agent"];
-        if (controlAddressOf(agent).empty())
+        if (controlAddressOf(store_, configuration_, agent).empty())
             return reply({400, "no agent " + std::to_string(agent) + "\n", {}});
         change.value = json{{"agent", agent}, {"configuration", wanted["configuration"]}};
         try {
@@ -335,10 +339,12 @@
         return reply({404, "no such path\n", {}});
     if (head.method != (ready ? "GET" : "POST")) return reply({405, "GET ready, POST the others\n", {}});
     const auto* found = store_.find(kInstancePrefix + name);
+    if (!catchUp_.caughtUp() && !supervisor_.status(name))
+        return reply({503, std::string(catchUp_.description()) + "\n", {}});
     if (!found) return reply({404, "no instance '" + name + "'\n", {}});
     const std::uint64_t agent = found->value.at("agent");
     if (agent != configuration_.id) {
-        const std::string control = controlAddressOf(agent);
+        const std::string control = controlAddressOf(store_, configuration_, agent);
         if (control.empty()) return reply({503, "its agent is not known\n", {}});
         return reply({307, "", {"Location", "http://" + control + head.target}});
     }
@@ -358,20 +364,37 @@
                          });
 }
 
+// Of the store's content. Not known before the first catch-up after a start.
+json Control::ageMs() {
+    return catchUp_.everCaughtUp() ? json(consensus_.leaderContactAgeMs()) : json(nullptr);
+}
+
 json Control::status() {
     json running = json::object();
     for (const auto& [name, i] : instancesOf(store_)) {
         running[name] = {{"agent", i.agent}, {"revision", i.revision}};
         if (const auto here = supervisor_.status(name))
             running[name].update({{"phase", here->phase}, {"pid", here->pid}, {"restarts", here->restarts}});
+        else if (!catchUp_.caughtUp() && i.agent == configuration_.id)
+            running[name]["phase"] = catchUp_.description();
     }
+    const auto toMs = [](net::Micros time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    const auto awaited = catchUp_.awaitedRevision();
+    const json waiting = {{"revision", awaited ? json(*awaited) : json(nullptr)},
+                          {"for_ms", toMs(catchUp_.waitingFor())},
+                          {"waits", catchUp_.counters().waits},
+                          {"last_wait_ms", toMs(catchUp_.counters().lastWait)}};
     return {{"agent", configuration_.id},
             {"leader", consensus_.leader()},
+            {"configuration", catchUp_.description()},
+            {"awaited", waiting},
             {"applied", consensus_.lastAppliedIndex()},
             {"revision", store_.revision()},
             {"documents", store_.size()},
             {"last_event", store_.lastEvent()},
-            {"age_ms", consensus_.leaderContactAgeMs()},
+            {"age_ms", ageMs()},
             {"storage_failing_ms", consensus_.storageFailingFor().count()},
             {"instances", running}};
 }
--- a/src/agent/control.hpp
+++ b/src/agent/control.hpp
@@ -8,7 +8,7 @@
 #include "../config/validation.hpp"
 #include "../net/http_server.hpp"
 #include "../net/loop.hpp"
-#include "consensus.hpp"
+#include "catch_up.hpp"
 #include "request_target.hpp"
 #include "settings.hpp"
 #include "supervisor.hpp"
@@ -18,7 +18,7 @@
 class Control {
 public:
     Control(net::Loop& loop, const AgentConfiguration& configuration, const config::Store& store,
-            Consensus& consensus, Supervisor& supervisor);
+            Consensus& consensus, const CatchUp& catchUp, Supervisor& supervisor);
     ~Control();
 
     void changed();  // call when the store has changed; answers pending watches
@@ -44,18 +44,22 @@
                  const Reply& reply);
     void instances(const net::HttpHead& head, const std::string& rest, const std::string& body,
                    const Reply& reply);
+    // The store must include everything that is agreed.
+    void changeInstance(const std::string& method, const std::string& name, const std::string& body,
+                        const Reply& reply);
     // Forwards a request to the operator address of an instance; served by the agent that runs it.
     void forwardToOperatorAddress(const std::string& name, const std::string& operation,
                                   const net::HttpHead& head, const Reply& reply);
     void redirectToLeader(const std::string& target, const Reply& reply);
-    std::string controlAddressOf(std::uint64_t agent) const;
     nlohmann::json documents(const RequestTarget& target) const;
     nlohmann::json status();
+    nlohmann::json ageMs();
 
     net::Loop& loop_;
     const AgentConfiguration& configuration_;
     const config::Store& store_;
     Consensus& consensus_;
+    const CatchUp& catchUp_;
     Supervisor& supervisor_;
     std::list<Watch> watches_;
     net::HttpServer server_;
--- a/src/agent/event_feed.cpp
+++ b/src/agent/event_feed.cpp
@@ -21,10 +21,10 @@
 }  // namespace
 
 EventFeed::EventFeed(net::Loop& loop, const settings::Endpoint& at, const config::Store& store,
-                     Consensus& consensus)
+                     const CatchUp& catchUp)
     : loop_(loop),
       store_(store),
-      consensus_(consensus),
+      catchUp_(catchUp),
       server_(loop, at, kLimits, net::Priority::normal,
               [this](const net::HttpHead& head, const std::string&, net::HttpServer::SendResponse reply) {
                   handle(head, std::move(reply));
@@ -44,9 +44,9 @@
         std::clamp<std::int64_t>(target.integerParameter("hold").value_or(0), 0, kMaxHoldMs);
     if (from < 0) return reply({400, "'from' is not a number\n", {}});
     ++counters_.reads;
-    if (consensus_.leader() == 0) {
-        ++counters_.withoutLeader;
-        return reply({503, "this agent knows of no leader now\n", {}});
+    if (!catchUp_.caughtUp()) {
+        ++counters_.mayLackEvents;
+        return reply(mayLackEvents());
     }
     if (from > store_.lastEvent()) {
         ++counters_.behindReader;
@@ -58,12 +58,16 @@
     at->timer = loop_.after(std::chrono::milliseconds{hold}, [this, at] {
         const HeldRead ended = std::move(*at);
         heldReads_.erase(at);
-        // Without a leader, events may be missing here, so this must not look like "no events".
-        if (consensus_.leader() == 0) return ended.reply({503, "this agent knows of no leader now\n", {}});
+        // Events may be missing here, so this must not look like "no events".
+        if (!catchUp_.caughtUp()) return ended.reply(mayLackEvents());
         answer(ended.from, ended.reply);
     });
 }
 
+net::HttpServer::Response EventFeed::mayLackEvents() const {
+    return {503, "this agent is " + std::string(catchUp_.description()) + "\n", {}};
+}
+
 void EventFeed::answer(std::int64_t from, const net::HttpServer::SendResponse& reply) {
     if (cachedFrom_ != from || cachedLast_ != store_.lastEvent()) {
         cachedAnswer_ = page(from);
--- a/src/agent/event_feed.hpp
+++ b/src/agent/event_feed.hpp
@@ -1,5 +1,5 @@
-// Serves boxes and purges to gateways in the event bus's format. An agent without a known leader, or
-// behind the reader's offset, answers 503, so that the reader switches to another agent.
+// Serves boxes and purges to gateways in the event bus's format. An agent that may lack events, or is behind
+// the reader's offset, answers 503, so that the reader switches to another agent.
 #pragma once
 
 #include <list>
@@ -10,18 +10,18 @@
 #include "../config/store.hpp"
 #include "../net/http_server.hpp"
 #include "../net/loop.hpp"
-#include "consensus.hpp"
+#include "catch_up.hpp"
 
 namespace lotuslead::agent {
 
 class EventFeed {
 public:
     struct Counters {
-        std::uint64_t reads = 0, heldReads = 0, behindReader = 0, withoutLeader = 0;
+        std::uint64_t reads = 0, heldReads = 0, behindReader = 0, mayLackEvents = 0;
     };
 
     EventFeed(net::Loop& loop, const settings::Endpoint& at, const config::Store& store,
-              Consensus& consensus);
+              const CatchUp& catchUp);
     ~EventFeed();
 
     // Call when the store has changed. Answers held requests at once if the last round is long enough ago,
@@ -39,12 +39,13 @@
 
     void handle(const net::HttpHead& head, net::HttpServer::SendResponse reply);
     void answer(std::int64_t from, const net::HttpServer::SendResponse& reply);
+    net::HttpServer::Response mayLackEvents() const;
     void answerHeldReads();
     std::string page(std::int64_t from);
 
     net::Loop& loop_;
     const config::Store& store_;
-    Consensus& consensus_;
+    const CatchUp& catchUp_;
     std::list<HeldRead> heldReads_;
     // Most readers are at the same offset, so their answer is built once. Full pages are cached as well,
     // for the many readers that reconnect at the same time.
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -14,6 +14,7 @@
 
 #include "../net/http_client.hpp"
 #include "../net/signals.hpp"
+#include "catch_up.hpp"
 #include "control.hpp"
 #include "event_feed.hpp"
 #include "instances.hpp"
@@ -71,8 +72,9 @@
                      configuration_.join ? std::vector<Member>{} : configuration_.members,
                      ensureFolder(configuration_, "raft"), configuration_.raftListen, configuration_.raft,
                      store_, [this] { changed(); }),
-          control_(loop_, configuration_, store_, consensus_, supervisor_) {
-        if (configuration_.bus) feed_.emplace(loop_, *configuration_.bus, store_, consensus_);
+          catchUp_(loop_, configuration_, store_, consensus_, [this] { changed(); }),
+          control_(loop_, configuration_, store_, consensus_, catchUp_, supervisor_) {
+        if (configuration_.bus) feed_.emplace(loop_, *configuration_.bus, store_, catchUp_);
     }
     ~Agent() override { loop_.remove(signalsHandler_, signals_.get()); }
 
@@ -84,6 +86,7 @@
         while (phase_ != Phase::stopped) {
             loop_.turn(consensus_.nextPollTime());
             consensus_.poll();
+            catchUp_.poll();
             if (phase_ == Phase::stopping && supervisor_.empty()) phase_ = Phase::stopped;
         }
         return 0;
@@ -91,13 +94,21 @@
 
 private:
     void changed() {
-        if (store_.revision() != suppliedRevision_) {
-            suppliedRevision_ = store_.revision();
-            if (phase_ == Phase::running) supervisor_.setInstances(instancesOf(store_), configuration_.id);
-        }
+        if (phase_ == Phase::running) superviseInstances();
         if (feed_) feed_->changed();
         control_.changed();
     }
+    // Acts on the store only when nothing agreed on is missing there: an instance may have been moved to
+    // another agent since. Until then what runs goes on.
+    void superviseInstances() {
+        if (catchUp_.state() == CatchUp::State::notMember) {
+            suppliedRevision_.reset();
+            return supervisor_.setInstances({}, configuration_.id);
+        }
+        if (!catchUp_.caughtUp() || suppliedRevision_ == store_.revision()) return;
+        suppliedRevision_ = store_.revision();
+        supervisor_.setInstances(instancesOf(store_), configuration_.id);
+    }
     static net::Descriptor watchSignals() {
         std::signal(SIGPIPE, SIG_IGN);
         sigset_t set;
@@ -122,9 +133,10 @@
     net::Loop::HandlerId signalsHandler_;
     Phase phase_ = Phase::running;
     config::Store store_;
-    config::Revision suppliedRevision_ = 0;
+    std::optional<config::Revision> suppliedRevision_;  // of the instances that the supervisor was given
     Supervisor supervisor_;
     Consensus consensus_;
+    CatchUp catchUp_;
     Control control_;
     std::optional<EventFeed> feed_;
 };
