Fetch a replaced file in one response for a minute, not ten

What callers saw: nothing yet; for ten minutes after a replacement that met a download, each download of the file would have gone past the disk tier.

Cause: the time was chosen when one response was the only help against servers that disagree; since the part is asked for where the first came from, it only has to outlast caches that keep an old copy.

--- a/src/repository/version_conflicts.hpp
+++ b/src/repository/version_conflicts.hpp
@@ -35,7 +35,7 @@
         std::optional<Micros> droppedAt, conflictAt;
     };
     static constexpr Micros kMinDropInterval = std::chrono::seconds{2};
-    static constexpr Micros kConflictMemory = std::chrono::minutes{10};
+    static constexpr Micros kConflictMemory = std::chrono::minutes{1};
     static constexpr std::size_t kMaxFiles = 1024;
 
     LruMap<std::string, File> files_{kMaxFiles};
