--- a/src/agent/catch_up.cpp
+++ b/src/agent/catch_up.cpp
@@ -19,8 +19,6 @@
 constexpr net::Micros kRequestInterval = 50ms;  // between two requests for the revision
 constexpr net::Micros kMembershipInterval = 1s;
 constexpr net::Micros kCallTimeout = 1s;
-// Without contact for this many election timeouts, the other agents are asked whether this one is a member.
-constexpr int kMembershipAfterElectionTimeouts = 2;
 
 unsigned long long printable(std::uint64_t number) { return number; }
 
@@ -103,20 +101,22 @@
     const bool contact = inContact();
     if (state_ == State::caughtUp) lastCurrentAt_ = lastContactAt_;
     if (contact) lastContactAt_ = now;
-    if (!contact || suspended) {
-        if (state_ == State::caughtUp)
-            beginWait();
-        else
-            awaitedRevision_.reset();  // more may have been agreed since
-    }
+    if (!contact || suspended) contactLost();
     if (state_ == State::caughtUp) return;
     if (contact)
         requestRevision();
-    else if (now - lastContactAt_ > kMembershipAfterElectionTimeouts * electionTimeout_)
+    else
         askWhetherMember();
     if (awaitedRevision_ && store_.revision() >= *awaitedRevision_) endWait();
 }
 
+// More may have been agreed since the revision became known, or was asked for.
+void CatchUp::contactLost() {
+    ++contactLosses_;
+    awaitedRevision_.reset();
+    if (state_ == State::caughtUp) beginWait();
+}
+
 void CatchUp::enter(State state) {
     if (std::exchange(state_, state) != state) stateChanged_();
 }
@@ -151,8 +151,8 @@
 
 void CatchUp::confirmByBarrier() {
     revisionRequested_ = true;
-    consensus_.barrier([this, wait = counters_.waits](bool holds) {
-        revisionKnown(wait, holds ? std::optional(store_.revision()) : std::nullopt);
+    consensus_.barrier([this, contactLosses = contactLosses_](bool holds) {
+        revisionKnown(contactLosses, holds ? std::optional(store_.revision()) : std::nullopt);
     });
 }
 
@@ -160,33 +160,32 @@
     revisionRequested_ = true;
     const std::string target = "/config/" + (kAgentPrefix + std::to_string(configuration_.id));
     net::sendHttpRequest(loop_, control, "GET", target, kCallTimeout,
-                         [this, wait = counters_.waits](int, const std::string& body) {
-                             revisionKnown(wait, readRevision(body));
+                         [this, contactLosses = contactLosses_](int, const std::string& body) {
+                             revisionKnown(contactLosses, readRevision(body));
                          });
 }
 
-// An answer to a request of an earlier wait says nothing about what was agreed since.
-void CatchUp::revisionKnown(std::uint64_t wait, std::optional<config::Revision> revision) {
+// An answer to a request from before a loss of contact says nothing about what was agreed since.
+void CatchUp::revisionKnown(std::uint64_t contactLosses, std::optional<config::Revision> revision) {
     revisionRequested_ = false;
-    if (wait == counters_.waits && inContact()) awaitedRevision_ = revision;
+    if (contactLosses == contactLosses_ && inContact()) awaitedRevision_ = revision;
 }
 
 // ----- membership -----
 
 void CatchUp::askWhetherMember() {
-    if (membersRequested_ || loop_.now() < nextMembershipRequestAt_) return;
+    if (pendingMembershipRequests_ > 0 || loop_.now() < nextMembershipRequestAt_) return;
     nextMembershipRequestAt_ = loop_.now() + kMembershipInterval;
-    const auto others = otherAgents();
-    if (others.empty()) return;
-    const std::uint64_t asked = others[nextAskedAgent_++ % others.size()];
-    const auto control = endpointOf(asked);
-    if (!control) return;
-    membersRequested_ = true;
-    net::sendHttpRequest(loop_, *control, "GET", "/members", kCallTimeout,
-                         [this, asked](int status, const std::string& body) {
-                             membersRequested_ = false;
-                             membersReceived(asked, status, body);
-                         });
+    for (const std::uint64_t agent : otherAgents()) {
+        const auto control = endpointOf(agent);
+        if (!control) continue;
+        ++pendingMembershipRequests_;
+        net::sendHttpRequest(loop_, *control, "GET", "/members", kCallTimeout,
+                             [this, agent](int status, const std::string& body) {
+                                 --pendingMembershipRequests_;
+                                 membersReceived(agent, status, body);
+                             });
+    }
 }
 
 // Only the leader's list counts, since another agent may itself lack changes.
--- a/src/agent/catch_up.hpp
+++ b/src/agent/catch_up.hpp
@@ -55,13 +55,14 @@
 
 private:
     bool inContact() const;
+    void contactLost();
     void beginWait();
     void endWait();
     void enter(State state);
     void requestRevision();
     void confirmByBarrier();
     void askLeader(const settings::Endpoint& control);
-    void revisionKnown(std::uint64_t wait, std::optional<config::Revision> revision);
+    void revisionKnown(std::uint64_t contactLosses, std::optional<config::Revision> revision);
     void askWhetherMember();
     void membersReceived(std::uint64_t asked, int status, const std::string& body);
     std::optional<settings::Endpoint> endpointOf(std::uint64_t agent) const;
@@ -77,8 +78,9 @@
     std::optional<config::Revision> awaitedRevision_;
     net::Micros waitingSince_{}, lastPollAt_{}, lastContactAt_{}, lastCurrentAt_{};
     net::Micros nextRequestAt_{}, nextMembershipRequestAt_{};
-    bool revisionRequested_ = false, membersRequested_ = false;
-    std::size_t nextAskedAgent_ = 0;
+    std::uint64_t contactLosses_ = 0;  // polls without contact, or after a suspension
+    bool revisionRequested_ = false;
+    std::size_t pendingMembershipRequests_ = 0;
     Counters counters_;
 };
 
