Fetch parts anew that an earlier version kept without their Date

What callers saw: after an upgrade, each download of a file whose server gives dates and no tags asked the servers again for up to an eighth of memory_mb, as long as the disk tier held the first part from before.

Cause: a part that was kept without the response's Date has no strong validator. The tier served it all the same, the front took the file for one without validators, and a span of several parts goes past the tier.

Change: a copy on disk is served only if it would be kept today (PayloadTraits::storable), else fetched and kept anew. Counter `not_storable`.

--- a/src/disk/caching_transport.cpp
+++ b/src/disk/caching_transport.cpp
@@ -103,39 +103,45 @@
     if (at == lookups_.end()) return;
     PendingLookup lookup = std::move(at->second);
     lookups_.erase(at);
-    const core::Request& request = *lookup.request;
     core::AttemptResult end;
     end.request = id;
     end.attempt = lookup.send.attempt;
-    if (copy) {
-        const std::string tag = traits_.tagMetadataName
-                                    ? core::findMetadata(copy->metadata, traits_.tagMetadataName)
-                                    : std::string{};
-        end.payload.unchanged = !tag.empty() && tag == request.knownTag;
-        // An answer that only confirms the client's tag costs a twentieth of the bytes on the link.
-        const std::size_t bytes = end.payload.unchanged ? copy->body.size() / 20 : copy->body.size();
-        if (pacer_.finishTime(now_, bytes) > request.deadline) {
-            ++counters_.linkFull;
-            copy.reset();
-        } else {
-            pacer_.reserve(now_, bytes);
-        }
-    }
-    if (!copy) {
-        end.payload = {};
-        return forward(now_, request, lookup.send, std::move(lookup.key));
-    }
+    if (!copy || !moveUsableCopy(*lookup.request, lookup.key, std::move(*copy), end.payload))
+        return forward(now_, *lookup.request, lookup.send, std::move(lookup.key));
     ++counters_.served;
     if (end.payload.unchanged) ++counters_.unchanged;
     end.servedLocally = true;
     end.outcome = Outcome::served;
     end.cacheStatus = CacheStatus::hit;
-    end.payload.createdMs = copy->createdMs;
-    end.payload.metadata = std::move(copy->metadata);
-    if (!end.payload.unchanged) end.payload.body = std::move(copy->body);
     ended_(std::move(end));
 }
 
+// Returns false if the copy must not, or cannot in time, answer the request.
+bool CachingTransport::moveUsableCopy(const core::Request& request, const Key& key, Copy&& copy,
+                                      core::Payload& payload) {
+    payload.createdMs = copy.createdMs;
+    payload.metadata = std::move(copy.metadata);
+    payload.body = std::move(copy.body);
+    // An earlier version of the program may have kept what is not storable now.
+    if (!traits_.storable(key, payload)) {
+        ++counters_.notStorable;
+        return false;
+    }
+    const std::string tag = traits_.tagMetadataName
+                                ? core::findMetadata(payload.metadata, traits_.tagMetadataName)
+                                : std::string{};
+    payload.unchanged = !tag.empty() && tag == request.knownTag;
+    // An answer that only confirms the client's tag costs a twentieth of the bytes on the link.
+    const std::size_t bytes = payload.unchanged ? payload.body.size() / 20 : payload.body.size();
+    if (pacer_.finishTime(now_, bytes) > request.deadline) {
+        ++counters_.linkFull;
+        return false;
+    }
+    pacer_.reserve(now_, bytes);
+    if (payload.unchanged) payload.body.clear();
+    return true;
+}
+
 bool CachingTransport::cancel(Micros now, RequestId request, int attempt) {
     const auto lookup = lookups_.find(request);
     if (lookup != lookups_.end() && lookup->second.send.attempt == attempt) {
--- a/src/disk/caching_transport.hpp
+++ b/src/disk/caching_transport.hpp
@@ -34,7 +34,7 @@
 public:
     using Micros = core::Micros;
     struct Counters {
-        std::uint64_t lookups = 0, served = 0, unchanged = 0, slowReads = 0, linkFull = 0;
+        std::uint64_t lookups = 0, served = 0, unchanged = 0, slowReads = 0, linkFull = 0, notStorable = 0;
     };
 
     CachingTransport(core::AttemptTransport& inner, Micros unixAhead, PayloadTraits traits)
@@ -76,6 +76,7 @@
     std::int64_t maxCopyAgeMs(const core::Request& request, const core::Decision& send) const;
     void forward(Micros now, const core::Request& request, const core::Decision& send, Key key);
     void lookupDone(RequestId id, std::optional<Copy> copy);
+    bool moveUsableCopy(const core::Request& request, const Key& key, Copy&& copy, core::Payload& payload);
 
     core::AttemptTransport& inner_;
     Micros unixAhead_;
--- a/src/platform/front_service.hpp
+++ b/src/platform/front_service.hpp
@@ -293,6 +293,7 @@
                                 {"unchanged", b.unchanged},
                                 {"slow_reads", b.slowReads},
                                 {"link_full", b.linkFull},
+                                {"not_storable", b.notStorable},
                                 {"purged", t.purged + s.purged},
                                 {"expired", t.expired},
                                 {"unproved", t.unprovable},
--- a/tests/file_versions_test.cpp
+++ b/tests/file_versions_test.cpp
@@ -3,6 +3,8 @@
 #include <cstring>
 #include <filesystem>
 
+#include "disk_tier_harness.hpp"
+#include "repository/upstreams.hpp"
 #include "repository_server.hpp"
 
 namespace {
@@ -43,6 +45,7 @@
     std::string address() const { return peer_.address(); }
     int responses() const { return responses_; }
     void replace() { version_ = 2; }
+    static constexpr std::time_t kEarlierChange = 1'764'000'000, kLaterChange = 1'764'200'000;
 
 private:
     void serve(Connection& c) {
@@ -78,7 +81,7 @@
     std::string validatorFields(int version) const {
         const std::time_t now = std::time(nullptr);
         const bool older = (version == 2) == options_.rollback;
-        const std::time_t changed = (older ? 1'764'000'000 : 1'764'200'000) + options_.serverNumber;
+        const std::time_t changed = (older ? kEarlierChange : kLaterChange) + options_.serverNumber;
         const std::string tag = "\"v" + std::to_string(version) + "-" +
                                 std::to_string(options_.serverNumber) + "\"",
                           date = "Date: " + httpDate(now) + "\r\n";
@@ -145,6 +148,27 @@
     }
     ~DiskTier() { std::filesystem::remove_all(folder_); }
     Program::Variables variables() const { return {{"LB_DISK", folder_ + "/disk.json"}}; }
+    // Keeps the first part of version 1 as the program did that knew of no dates of responses.
+    void keepFirstPartWithoutDate(std::size_t fileBytes) const {
+        namespace disk = lotuslead::disk;
+        namespace repository = lotuslead::repository;
+        disk::TierOptions options;
+        options.folder = folder_ + "/tier";
+        options.catalog.capacityBytes = 64 << 20;
+        options.purges = {false, true, 2000};
+        disk::TierHarness harness(options);
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        harness.now.unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+        const disk::Key key{kPath, "installer", 6, 0, kPartBytes};
+        const disk::Metadata metadata{{repository::kStatus, "206"},
+                                      {repository::kFirst, "0"},
+                                      {repository::kTotal, std::to_string(fileBytes)},
+                                      {"last-modified", httpDate(VersionedServer::kEarlierChange)}};
+        harness.tier.offer(harness.now, key, 1, {harness.now.unixMs, metadata, std::string(kPartBytes, '1')});
+        const bool kept = harness.turnUntil([&] { return harness.tier.queuedBytes() == 0; }) &&
+                          harness.tier.catalog().contains(key.fingerprint());
+        assert(kept);
+    }
 
 private:
     std::string folder_;
@@ -313,6 +337,20 @@
     assert(received == options.size && tries > 1);
 }
 
+// Guards against parts from before an upgrade, without a Date, for which each download asks the servers
+// again.
+void aPartThatWasKeptWithoutItsDate() {
+    ServerOptions options;
+    VersionedServer server(options);
+    DiskTier disk;
+    disk.keepFirstPartWithoutDate(options.size);
+    Program program(configurationOf({&server}), "LB_REPOSITORY", 1024, disk.variables());
+    for (int i = 0; i < 3; ++i) assert(download(program).attempts == 1);
+    const int responses = server.responses();
+    assert(download(program).attempts == 1);
+    assert(server.responses() == responses);
+}
+
 // Guards against a file that is never served since one response with all of it takes too long.
 void aResponseThatTakesTooLongIsReplacedByParts() {
     for (const Validator validator : {Validator::date, Validator::none}) {
@@ -348,7 +386,8 @@
         {"ranges", rangesAreOfOneVersion},
         {"no-ranges", aServerWithoutRanges},
         {"slow", aResponseThatTakesTooLongIsReplacedByParts},
-        {"large", aLargeFileWithoutValidatorsIsBrokenOff}};
+        {"large", aLargeFileWithoutValidatorsIsBrokenOff},
+        {"kept-without-date", aPartThatWasKeptWithoutItsDate}};
     assert(count == 2);
     stories.at(arguments[1])();
 }
