Take a cache's own Date for what it is when parts are joined

Cause: a Last-Modified date is strong if Date is a second later. A cache has to pass the origin's Date on (RFC 9110, 6.6.1); with the present in its place each date becomes strong once the copy is a second old.

Change: a response with Age whose Date is nearer to the time of receipt than Date and Age together is dated back by Age and a second (originDate). Sound caches are read as before, unless the origin's clock is ahead of ours by more than half of the Age; then a file that was changed within that time comes from one response.

--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -6,6 +6,7 @@
 
 #include "../core/service.hpp"
 #include "target.hpp"
+#include "validators.hpp"
 
 namespace lotuslead::repository {
 
@@ -48,6 +49,21 @@
     return result;
 }
 
+// The Age of a response from a cache, in seconds.
+std::optional<std::int64_t> readAge(const net::HttpHead& head) {
+    constexpr std::uint64_t kTenYears = 315'360'000;  // in seconds; prevents overflow
+    const std::string* field = head.field("age");
+    if (!field) return {};
+    return static_cast<std::int64_t>(std::min(parseInteger(*field).value_or(0), kTenYears));
+}
+
+std::optional<std::time_t> readOriginDate(const net::HttpHead& head, std::time_t receivedAt) {
+    const std::string* field = head.field("date");
+    const auto date = field ? parseHttpDate(*field) : std::nullopt;
+    const auto age = readAge(head);
+    return date && age ? originDate(*date, *age, receivedAt) : date;
+}
+
 std::int64_t toSeconds(Micros t) { return std::chrono::duration_cast<std::chrono::seconds>(t).count(); }
 
 }  // namespace
@@ -145,8 +161,10 @@
         end.attempt = attempt.send.attempt;
         end.outcome = Outcome::served;
         auto& metadata = end.payload.metadata;
-        for (const char* name : {"etag", "last-modified", "date", "content-type"})
+        for (const char* name : {"etag", "last-modified", "content-type"})
             if (const std::string* value = head.field(name)) metadata.emplace_back(name, *value);
+        if (const auto date = readOriginDate(head, toSeconds(owner_.loop_.now() + owner_.unixClockOffset_)))
+            metadata.emplace_back("date", formatHttpDate(*date));
         int status = head.status;
         const ContentRange range = parseContentRange(head.field("content-range"));
         if (status == 200) {
@@ -177,19 +195,16 @@
             end.outcome = Outcome::error;
         }
         // Servers may ignore the limit on age; a copy from before a purge must not be accepted.
-        const std::string* field = head.field("age");
-        constexpr std::uint64_t kTenYears = 315'360'000;  // in seconds; prevents overflow
-        const auto age =
-            field ? static_cast<std::int64_t>(std::min(parseInteger(*field).value_or(0), kTenYears)) : 0;
-        if (end.outcome == Outcome::served && field && attempt.send.maxCopyAge >= kMinAgeLimit &&
-            age + 1 > toSeconds(attempt.send.maxCopyAge)) {
+        const auto age = readAge(head);
+        if (end.outcome == Outcome::served && age && attempt.send.maxCopyAge >= kMinAgeLimit &&
+            *age + 1 > toSeconds(attempt.send.maxCopyAge)) {
             ++owner_.counters_.tooOld;
             end.outcome = Outcome::noCopy;
         }
-        end.cacheStatus = age > 0 ? CacheStatus::hit : CacheStatus::none;
+        end.cacheStatus = age.value_or(0) > 0 ? CacheStatus::hit : CacheStatus::none;
         // An upper bound of the copy's age: Age is computed after the request was sent and truncates less
         // than a second (RFC 9111, 4.2.3).
-        const Micros held = field ? std::chrono::seconds{age + 1} : Micros{0};
+        const Micros held = age ? std::chrono::seconds{*age + 1} : Micros{0};
         end.payload.createdMs = std::chrono::duration_cast<std::chrono::milliseconds>(
                                     attempt.send.pickedAt + owner_.unixClockOffset_ - held)
                                     .count();
--- a/src/repository/validators.cpp
+++ b/src/repository/validators.cpp
@@ -1,5 +1,7 @@
 #include "validators.hpp"
 
+#include <cstdlib>
+
 #include "target.hpp"
 
 namespace lotuslead::repository {
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr std::time_t kStrongDateSeconds = 1;
+constexpr std::time_t kRoundingSeconds = 1;  // Date and Age are whole seconds
 
 bool isWeakTag(const std::string& tag) { return tag.rfind("W/", 0) == 0; }
 
@@ -35,6 +38,11 @@
     return hasStrongDate() && sameDate(field, lastModified);
 }
 
+std::time_t originDate(std::time_t date, std::int64_t ageSeconds, std::time_t receivedAt) {
+    const bool isPresent = std::abs(date - receivedAt) <= std::abs(date + ageSeconds - receivedAt);
+    return isPresent ? date - ageSeconds - kRoundingSeconds : date;
+}
+
 bool shareStrongValidator(const Validators& one, const Validators& other) {
     if (one.hasStrongTag() && other.hasStrongTag()) return one.etag == other.etag;
     const bool bothTagged = !one.etag.empty() && !other.etag.empty();
--- a/src/repository/validators.hpp
+++ b/src/repository/validators.hpp
@@ -1,6 +1,8 @@
 // The validators of a response, and which responses may be joined to one (RFC 9110, 8.8 and 15.3.7.3).
 #pragma once
 
+#include <cstdint>
+#include <ctime>
 #include <string>
 
 #include "../core/metadata.hpp"
@@ -22,6 +24,11 @@
     bool matchIfRange(const std::string& field) const;
 };
 
+// When the origin made a response that came from a cache with this Age. A cache has to pass the origin's Date
+// on (RFC 9110, 6.6.1), but some put the present there, which would make each date a strong validator. Such a
+// Date is nearer to the time of receipt than Date and Age together are.
+std::time_t originDate(std::time_t date, std::int64_t ageSeconds, std::time_t receivedAt);
+
 // Whether two responses carry the same strong validator, so that they are of one version.
 bool shareStrongValidator(const Validators& one, const Validators& other);
 
--- a/tests/file_versions_test.cpp
+++ b/tests/file_versions_test.cpp
@@ -28,9 +28,10 @@
 struct ServerOptions {
     Validator validator = Validator::date;
     std::size_t size = kFileBytes;
-    int replaceAtPart = 0;   // the response, counted from 1, that is the first of version 2; 0: none
-    bool rollback = false;   // version 2 has the older date
-    std::set<int> oldParts;  // as a cache holds them: of version 1, unless a fresh copy is asked for
+    int replaceAtPart = 0;      // the response, counted from 1, that is the first of version 2; 0: none
+    bool rollback = false;      // version 2 has the older date
+    std::time_t changedAt = 0;  // when both versions were made; 0: days apart
+    std::set<int> oldParts;     // as a cache holds them: of version 1, unless a fresh copy is asked for
     bool ignoresRanges = false;
     bool slowBeyondOnePart = false;  // larger responses take longer than a request may
     int serverNumber = 0;            // tells apart the validators of servers whose bytes are equal
@@ -72,16 +73,22 @@
         const std::string body(last - first + 1, static_cast<char>('0' + version));
         if (options_.slowBeyondOnePart && body.size() > kPartBytes) std::this_thread::sleep_for(700ms);
         c.send(std::string(ranged ? "HTTP/1.1 206 Partial Content" : "HTTP/1.1 200 OK") + "\r\n" +
-               validatorFields(version) + (fromCache ? "Age: 600\r\n" : "") +
+               validatorFields(version) + (fromCache ? ageField() : "") +
                (ranged ? "Content-Range: bytes " + std::to_string(first) + "-" + std::to_string(last) + "/" +
                              std::to_string(options_.size) + "\r\n"
                        : "") +
                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
+    std::string ageField() const {
+        const std::time_t age = options_.changedAt ? std::time(nullptr) - options_.changedAt : 600;
+        return "Age: " + std::to_string(age) + "\r\n";
+    }
     std::string validatorFields(int version) const {
         const std::time_t now = std::time(nullptr);
         const bool older = (version == 2) == options_.rollback;
-        const std::time_t changed = (older ? kEarlierChange : kLaterChange) + options_.serverNumber;
+        const std::time_t changed = options_.changedAt
+                                        ? options_.changedAt
+                                        : (older ? kEarlierChange : kLaterChange) + options_.serverNumber;
         const std::string tag = "\"v" + std::to_string(version) + "-" +
                                 std::to_string(options_.serverNumber) + "\"",
                           date = "Date: " + httpDate(now) + "\r\n";
@@ -245,6 +252,20 @@
     }
 }
 
+// Guards against joining two versions of one second, where a cache puts its own Date on the first one.
+void cachesThatSendTheirOwnDate() {
+    constexpr std::time_t kCopyAge = 10;
+    for (const bool firstPartIsOld : {false, true}) {
+        ServerOptions options;
+        options.changedAt = std::time(nullptr) - kCopyAge;
+        options.oldParts = firstPartIsOld ? std::set<int>{0, 2} : std::set<int>{3, 5};
+        VersionedServer server(options);
+        server.replace();
+        Program program(configurationOf({&server}), "LB_REPOSITORY");
+        for (int i = 0; i < 3; ++i) download(program);
+    }
+}
+
 // Guards against downloads that are broken off since the servers' validators differ for equal bytes.
 void serversWithDifferentValidatorsAreServedFromOne() {
     for (const Validator validator : {Validator::tag, Validator::date}) {
@@ -382,6 +403,7 @@
         {"replaced", replacedDuringADownload},
         {"not-replaced", whatIsNotReplacedIsWholeAtOnce},
         {"old-copies", oldCopiesInCachesDoNotLast},
+        {"caches-with-own-date", cachesThatSendTheirOwnDate},
         {"different-validators", serversWithDifferentValidatorsAreServedFromOne},
         {"ranges", rangesAreOfOneVersion},
         {"no-ranges", aServerWithoutRanges},
--- a/tests/validators_test.cpp
+++ b/tests/validators_test.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 
+using lotuslead::repository::originDate;
 using lotuslead::repository::shareStrongValidator;
 using lotuslead::repository::Validators;
 
@@ -45,4 +46,13 @@
     EXPECT_FALSE((Validators{"", kEarly, kNow}).matchIfRange(kLate));
 }
 
+TEST(Validators, TheDateOfACacheIsNotTakenForTheOriginsDate) {
+    constexpr std::time_t kMade = 1'764'000'000, kAge = 600, kReceived = kMade + kAge;
+    EXPECT_EQ(originDate(kMade, kAge, kReceived), kMade);
+    EXPECT_EQ(originDate(kMade + 2, kAge, kReceived), kMade + 2);
+    EXPECT_LT(originDate(kReceived, kAge, kReceived), kMade);
+    EXPECT_LT(originDate(kReceived - 2, kAge, kReceived), kMade);
+    EXPECT_LT(originDate(kMade + 1, 0, kMade + 1), kMade + 1);
+}
+
 }  // namespace
