Read an upstream's response in three steps

Cause: readResponse had grown to 70 lines, with the age, the status and the description of the body in one function.

Change: readDescription, readStatus and readCopyAge; nothing else differs.

--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -45,6 +45,7 @@
     void expectNoBody(bool none) { noBody_ = none; }
 
     const HttpHead& head() const { return head_; }
+    const std::string& body() const { return body_; }
     std::string& body() { return body_; }
     bool midMessage() const { return state_ != State::start || !pending_.empty(); }
 
--- a/src/repository/upstreams.cpp
+++ b/src/repository/upstreams.cpp
@@ -155,18 +155,34 @@
     }
 
     AttemptResult readResponse(const QueuedAttempt& attempt) {
-        const net::HttpHead& head = parser_.head();
         AttemptResult end;
         end.request = attempt.send.request;
         end.attempt = attempt.send.attempt;
         end.outcome = Outcome::served;
-        auto& metadata = end.payload.metadata;
+        readDescription(end.payload.metadata);
+        readStatus(attempt, end);
+        readCopyAge(attempt, end);
+        const int status = parser_.head().status;
+        if (end.outcome == Outcome::served && (status == 200 || status == 206))
+            end.payload.body = std::move(parser_.body());
+        return end;
+    }
+
+    void readDescription(core::Metadata& metadata) const {
+        const net::HttpHead& head = parser_.head();
         for (const char* name : {"etag", "last-modified", "content-type"})
             if (const std::string* value = head.field(name)) metadata.emplace_back(name, *value);
-        if (const auto date = readOriginDate(head, toSeconds(owner_.loop_.now() + owner_.unixClockOffset_)))
+        const Micros receivedAt = owner_.loop_.now() + owner_.unixClockOffset_;
+        if (const auto date = readOriginDate(head, toSeconds(receivedAt)))
             metadata.emplace_back("date", formatHttpDate(*date));
-        int status = head.status;
+    }
+
+    // Sets the outcome, and the metadata that tell which bytes of the object the body has.
+    void readStatus(const QueuedAttempt& attempt, AttemptResult& end) const {
+        const net::HttpHead& head = parser_.head();
         const ContentRange range = parseContentRange(head.field("content-range"));
+        auto& metadata = end.payload.metadata;
+        int status = head.status;
         if (status == 200) {
             metadata.emplace_back(kTotal, std::to_string(parser_.body().size()));
             metadata.emplace_back(kFirst, "0");
@@ -194,8 +210,12 @@
         } else {
             end.outcome = Outcome::error;
         }
+        metadata.emplace_back(kStatus, std::to_string(status));
+    }
+
+    void readCopyAge(const QueuedAttempt& attempt, AttemptResult& end) {
+        const auto age = readAge(parser_.head());
         // Servers may ignore the limit on age; a copy from before a purge must not be accepted.
-        const auto age = readAge(head);
         if (end.outcome == Outcome::served && age && attempt.send.maxCopyAge >= kMinAgeLimit &&
             *age + 1 > toSeconds(attempt.send.maxCopyAge)) {
             ++owner_.counters_.tooOld;
@@ -208,10 +228,6 @@
         end.payload.createdMs = std::chrono::duration_cast<std::chrono::milliseconds>(
                                     attempt.send.pickedAt + owner_.unixClockOffset_ - held)
                                     .count();
-        metadata.emplace_back(kStatus, std::to_string(status));
-        if (end.outcome == Outcome::served && (status == 200 || status == 206))
-            end.payload.body = std::move(parser_.body());
-        return end;
     }
 
     void startIdleTimer() { startTimer(owner_.idleTimeout_, Outcome::broken); }
