Prepare a test's child process before the fork

Cause: a stack of the stuck child (gdb) shows it between fork and exec, in AddressSanitizer's StackDepot, waiting for a spin lock that another thread of the test held at the fork. The harness built strings and set variables there; the child of a process with threads may only call async-signal-safe functions. Agents and Cluster did the same. The program under test was never started.

Change: startChild (tests/child_process.hpp) prepares arguments, environment and log first; the child only makes system calls. Program, Agents and Cluster use it. No check is changed.

--- a/tests/agents.hpp
+++ b/tests/agents.hpp
@@ -1,8 +1,6 @@
 // Test fixture: three agents on loopback, and the command-line tool.
 #pragma once
 
-#include <sys/prctl.h>
-
 #include "loopback.hpp"
 
 namespace lotuslead::testing {
@@ -58,13 +56,13 @@
         const std::string base = folder_ + "/" + std::to_string(id);
         std::ofstream(base + ".json")
             << json{{"id", id}, {"folder", base}, {"program", LOTUSLEAD_PROGRAM}, {"agents", members_}};
-        pids_[id] = ::fork();
-        if (pids_[id] != 0) return;
-        ::prctl(PR_SET_PDEATHSIG, SIGTERM);  // also after a failed assertion of the test
-        for (const auto& [name, value] : variables_) ::setenv(name.c_str(), value.c_str(), 1);
-        if (!std::freopen((base + ".log").c_str(), "a", stderr)) ::_exit(126);
-        ::execl(LOTUSLEAD_AGENT, LOTUSLEAD_AGENT, (base + ".json").c_str(), nullptr);
-        ::_exit(127);
+        ChildOptions child;
+        child.command = {LOTUSLEAD_AGENT, base + ".json"};
+        child.variables = variables_;
+        child.log = base + ".log";
+        child.appendsToLog = true;
+        child.signalAtParentsEnd = SIGTERM;
+        pids_[id] = startChild(child);
     }
     int stop(int id, int signal) {
         if (pids_[id] == 0) return 0;
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -5,8 +5,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -27,6 +25,8 @@
 #include <thread>
 #include <vector>
 
+#include "child_process.hpp"
+
 namespace lotuslead::testing {
 
 using nlohmann::json;
@@ -339,26 +339,21 @@
 // The gateway as a child process, with its log.
 class Program {
 public:
-    // `descriptors`: its limit of open files. `socket` is inherited as descriptor 5.
-    using Variables = std::vector<std::pair<std::string, std::string>>;
+    // `descriptors`: its limit of open files. `socket` is inherited as kInheritedSocket.
+    using Variables = testing::Variables;
     explicit Program(const std::string& configuration, const char* variable = "LB_CONFIG",
                      rlim_t descriptors = 1024, const Variables& variables = {}, int socket = -1) {
         char folder[] = "/tmp/lotuslead-test-XXXXXX";
         folder_ = ::mkdtemp(folder);
         std::ofstream(folder_ + "/config.json") << configuration;
-        pid_ = ::fork();
-        if (pid_ == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also when an assert ends the test
-            const rlimit limit{descriptors, descriptors};
-            ::setrlimit(RLIMIT_NOFILE, &limit);
-            ::setenv(variable, (folder_ + "/config.json").c_str(), 1);
-            for (const auto& [name, value] : variables) ::setenv(name.c_str(), value.c_str(), 1);
-            if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(126);
-            if (socket >= 0 && (::dup2(socket, 5) != 5 || ::setenv("LB_SOCKET_FD", "5", 1) != 0))
-                ::_exit(125);
-            ::execl(LOTUSLEAD_PROGRAM, LOTUSLEAD_PROGRAM, nullptr);
-            ::_exit(127);
-        }
+        ChildOptions child;
+        child.command = {LOTUSLEAD_PROGRAM};
+        child.variables = {{variable, folder_ + "/config.json"}};
+        child.variables.insert(child.variables.end(), variables.begin(), variables.end());
+        child.log = folder_ + "/log";
+        child.descriptors = descriptors;
+        child.inheritedSocket = socket;
+        pid_ = startChild(child);
     }
     explicit Program(const json& configuration, const char* variable = "LB_CONFIG", rlim_t descriptors = 1024,
                      const Variables& variables = {}, int socket = -1)
--- a/tests/raft_cluster.hpp
+++ b/tests/raft_cluster.hpp
@@ -167,17 +167,12 @@
     }
     void start(int id, bool join = false) {
         std::ofstream(folder(id) + ".json") << settings(id, join);
-        const std::string file = folder(id) + ".json", log = folder(id) + ".log";
-        const pid_t pid = ::fork();
-        if (pid == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            if (!std::freopen(log.c_str(), "a", stderr)) ::_exit(126);
-            if (variables_)
-                for (const auto& [name, value] : variables_(id)) ::setenv(name.c_str(), value.c_str(), 1);
-            ::execl(LOTUSLEAD_AGENT, LOTUSLEAD_AGENT, file.c_str(), nullptr);
-            ::_exit(127);
-        }
-        pids_[id] = pid;
+        ChildOptions child;
+        child.command = {LOTUSLEAD_AGENT, folder(id) + ".json"};
+        if (variables_) child.variables = variables_(id);
+        child.log = folder(id) + ".log";
+        child.appendsToLog = true;
+        pids_[id] = startChild(child);
     }
     void kill(int id) {
         if (pids_.count(id) == 0) return;
