--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -45,7 +45,11 @@
     for (const auto& [name, value] : variables) values[name] = value;
     std::vector<std::string> environment;
     environment.reserve(values.size());
-    for (const auto& [name, value] : values) environment.push_back(name + "=" + value);
+    for (const auto& [name, value] : values) {
+        std::string& entry = environment.emplace_back(name);
+        entry += '=';
+        entry += value;
+    }
     return environment;
 }
 
